--- /dev/null
+++ b/pkg/router/router.go
@@ -0,0 +1,244 @@
+// Package router chooses endpoints by free room, queued work, cached prefix and distance.
+// The cost of a choice is bounded and does not grow with the fleet.
+package router
+
+import (
+	"math/rand/v2"
+
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+)
+
+const (
+	// probes is how many endpoints are compared for one choice.
+	probes = 6
+	// scanLimit is the group size up to which every endpoint is compared.
+	scanLimit = 16
+	// prefixLimit bounds the remembered prefix locations.
+	prefixLimit = 8192
+	// remoteCost is the score in tokens for leaving the own failure domain.
+	remoteCost = 64
+)
+
+// View is what the router knows of one endpoint.
+type View struct {
+	endpoint.Endpoint
+	endpoint.Load
+	// Suspect is set while a request that may crash endpoints runs there.
+	Suspect bool
+	index   int
+}
+
+// Room tells whether a request of that many pieces fits now.
+func (v *View) Room(pieces int) bool {
+	return !v.Leaving && v.Held < v.Slots && v.FreePieces >= pieces
+}
+
+// Work describes the request that an endpoint is chosen for.
+type Work struct {
+	Model string
+	// Tokens is the prompt length.
+	Tokens int
+	// Pieces is the KV memory needed on the decode endpoint.
+	Pieces int
+	// Prefix is the digest of the prompt's first block; zero means none.
+	Prefix uint64
+	// Suspect work never shares an endpoint with other suspect work.
+	Suspect bool
+	// Avoid names an endpoint that failed this request before.
+	Avoid string
+}
+
+// Policy scores an endpoint for a piece of work; the lowest score is chosen.
+// A policy that ignores its arguments and returns a constant chooses at random.
+type Policy interface {
+	// Name returns the name used in settings and reports.
+	Name() string
+	// Score returns the cost of placing w on v; prefix tells whether w's prefix is cached there.
+	Score(v *View, w Work, prefix bool) float64
+	// Informed tells whether endpoints without room are passed over.
+	Informed() bool
+}
+
+type group struct {
+	views []*View
+	next  int
+}
+
+type groupKey struct {
+	role  endpoint.Role
+	model string
+}
+
+// Router holds a gateway's view of its endpoints. It is not safe for concurrent use.
+type Router struct {
+	policy Policy
+	rng    *rand.Rand
+	domain string
+	groups map[groupKey]*group
+	views  map[string]*View
+	// prefixes maps a prefix digest to the endpoint that prefilled it last; bounded by prefixLimit.
+	prefixes map[uint64]string
+	scratch  [probes * 2]*View
+}
+
+// New returns a router without endpoints for a gateway in the given failure domain.
+func New(policy Policy, domain string, rng *rand.Rand) *Router {
+	return &Router{
+		policy:   policy,
+		rng:      rng,
+		domain:   domain,
+		groups:   make(map[groupKey]*group),
+		views:    make(map[string]*View),
+		prefixes: make(map[uint64]string),
+	}
+}
+
+// Set adds an endpoint or updates its description; what is known of its load is kept.
+func (r *Router) Set(e endpoint.Endpoint, freshPieces int) {
+	if v, ok := r.views[e.ID]; ok && v.Role == e.Role && v.Model == e.Model {
+		v.Endpoint = e
+		return
+	}
+	r.Remove(e.ID)
+	g := r.group(e.Role, e.Model)
+	v := &View{Endpoint: e, Load: endpoint.Load{FreePieces: freshPieces}, index: len(g.views)}
+	g.views = append(g.views, v)
+	r.views[e.ID] = v
+}
+
+// Remove forgets an endpoint.
+func (r *Router) Remove(id string) {
+	v, ok := r.views[id]
+	if !ok {
+		return
+	}
+	g := r.group(v.Role, v.Model)
+	last := g.views[len(g.views)-1]
+	g.views[v.index] = last
+	last.index = v.index
+	g.views = g.views[:len(g.views)-1]
+	delete(r.views, id)
+}
+
+// View returns what is known of an endpoint, or nil.
+func (r *Router) View(id string) *View {
+	return r.views[id]
+}
+
+// Views calls visit for every endpoint, in no particular order.
+func (r *Router) Views(visit func(*View)) {
+	for _, v := range r.views {
+		visit(v)
+	}
+}
+
+// Report replaces the known load of an endpoint with a fresh report.
+func (r *Router) Report(id string, load endpoint.Load) {
+	if v, ok := r.views[id]; ok {
+		v.Load = load
+	}
+}
+
+// Cached remembers that an endpoint holds a prefix.
+func (r *Router) Cached(prefix uint64, id string) {
+	if prefix == 0 {
+		return
+	}
+	if len(r.prefixes) >= prefixLimit {
+		for k := range r.prefixes {
+			delete(r.prefixes, k)
+			break
+		}
+	}
+	r.prefixes[prefix] = id
+}
+
+// HasPrefix tells whether the endpoint prefilled the prefix last.
+func (r *Router) HasPrefix(prefix uint64, id string) bool {
+	return prefix != 0 && r.prefixes[prefix] == id
+}
+
+// Knows tells whether any endpoint of the role serves the model.
+func (r *Router) Knows(role endpoint.Role, model string) bool {
+	g, ok := r.groups[groupKey{role, model}]
+	return ok && len(g.views) > 0
+}
+
+// Pick returns the endpoint of the role that the policy prefers, or nil when none fits.
+func (r *Router) Pick(role endpoint.Role, w Work) *View {
+	g, ok := r.groups[groupKey{role, w.Model}]
+	if !ok || len(g.views) == 0 {
+		return nil
+	}
+	var best *View
+	bestScore := 0.0
+	for _, v := range r.candidates(g, w) {
+		if !r.fits(v, role, w) {
+			continue
+		}
+		score := r.policy.Score(v, w, r.HasPrefix(w.Prefix, v.ID))
+		if v.Domain != r.domain && r.policy.Informed() {
+			score += remoteCost
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = v, score
+		}
+	}
+	return best
+}
+
+func (r *Router) fits(v *View, role endpoint.Role, w Work) bool {
+	if v.Leaving || v.ID == w.Avoid {
+		return false
+	}
+	if w.Suspect && v.Suspect {
+		return false
+	}
+	if role == endpoint.Decode && r.policy.Informed() {
+		return v.Room(w.Pieces)
+	}
+	return true
+}
+
+// candidates returns all endpoints of a small group in rotated order, and a bounded sample
+// plus the holder of the prefix of a large one.
+func (r *Router) candidates(g *group, w Work) []*View {
+	g.next++
+	n := len(g.views)
+	out := r.scratch[:0]
+	if n <= scanLimit {
+		return r.rotated(g)
+	}
+	if holder, ok := r.views[r.prefixes[w.Prefix]]; ok && w.Prefix != 0 && holder.index < n && g.views[holder.index] == holder {
+		out = append(out, holder)
+	}
+	for range probes {
+		out = append(out, g.views[r.rng.IntN(n)])
+	}
+	return out
+}
+
+// rotated lists a small group from a random start, or in turn for a policy that is not informed
+// and keeps its place, so that ties spread over the group.
+func (r *Router) rotated(g *group) []*View {
+	n := len(g.views)
+	start := r.rng.IntN(n)
+	if r.policy.Name() == roundRobinName {
+		start = g.next % n
+	}
+	out := make([]*View, 0, scanLimit)
+	for i := range n {
+		out = append(out, g.views[(start+i)%n])
+	}
+	return out
+}
+
+func (r *Router) group(role endpoint.Role, model string) *group {
+	k := groupKey{role, model}
+	g, ok := r.groups[k]
+	if !ok {
+		g = &group{}
+		r.groups[k] = g
+	}
+	return g
+}
