--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -76,6 +76,8 @@
 	suspect bool
 	// backlog is what the job added to its prefill endpoint's known queue, in tokens.
 	backlog int
+	// started is set once an engine was told to run any part of the request; it is never reset.
+	started bool
 }
 
 // Dispatcher owns the requests of one gateway. It is not safe for concurrent use.
@@ -316,6 +318,7 @@
 
 func (d *Dispatcher) startPrefill(j *job, v *router.View, _ time.Duration) {
 	j.phase = prefilling
+	j.started = true
 	j.prefill = v.ID
 	j.backlog = j.Prompt + j.sent
 	if d.router.HasPrefix(j.Prefix, v.ID) {
@@ -456,6 +459,6 @@
 	delete(d.jobs, j.ID)
 	d.commands = append(d.commands, Command{
 		Kind: Fail, Request: j.ID, Attempt: j.attempt, Reason: reason,
-		NotRun: j.sent == 0, RetryAfter: time.Second, Sent: j.sent,
+		NotRun: !j.started, RetryAfter: time.Second, Sent: j.sent,
 	})
 }
--- a/pkg/dispatcher/messages.go
+++ b/pkg/dispatcher/messages.go
@@ -63,7 +63,7 @@
 	// Sent is how many tokens the caller has received already.
 	Sent   int
 	Reason Reason
-	// NotRun is true only where no engine produced a token for the caller.
+	// NotRun is true only where no engine was told to run any part of the request.
 	NotRun bool
 	// RetryAfter advises the caller, for Fail.
 	RetryAfter time.Duration
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -17,6 +17,8 @@
 	prefixLimit = 8192
 	// remoteCost is the score in tokens for leaving the own failure domain.
 	remoteCost = 64
+	// avoidCost is above every other score, so that an avoided endpoint comes last.
+	avoidCost = 1e12
 )
 
 // View is what the router knows of one endpoint.
@@ -44,7 +46,7 @@
 	Prefix uint64
 	// Suspect work never shares an endpoint with other suspect work.
 	Suspect bool
-	// Avoid names an endpoint that failed this request before.
+	// Avoid names an endpoint that failed this request before; it is chosen only where no other fits.
 	Avoid string
 }
 
@@ -176,10 +178,7 @@
 		if !r.fits(v, role, w) {
 			continue
 		}
-		score := r.policy.Score(v, w, r.HasPrefix(w.Prefix, v.ID))
-		if v.Domain != r.domain && r.policy.Informed() {
-			score += remoteCost
-		}
+		score := r.score(v, w)
 		if best == nil || score < bestScore {
 			best, bestScore = v, score
 		}
@@ -187,8 +186,19 @@
 	return best
 }
 
+func (r *Router) score(v *View, w Work) float64 {
+	score := r.policy.Score(v, w, r.HasPrefix(w.Prefix, v.ID))
+	if v.Domain != r.domain && r.policy.Informed() {
+		score += remoteCost
+	}
+	if v.ID == w.Avoid {
+		score += avoidCost
+	}
+	return score
+}
+
 func (r *Router) fits(v *View, role endpoint.Role, w Work) bool {
-	if v.Leaving || v.ID == w.Avoid {
+	if v.Leaving {
 		return false
 	}
 	if w.Suspect && v.Suspect {
--- /dev/null
+++ b/service/fleet/client.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+)
+
+const dialTimeout = 2 * time.Second
+
+// ErrNotSent means that the request certainly did not reach the peer.
+var ErrNotSent = errors.New("request was not sent")
+
+// Client calls one process of the fleet over one connection that it opens on demand.
+type Client struct {
+	address     string
+	incarnation string
+	config      *tls.Config
+	notified    func(method string, params json.RawMessage)
+	lost        func()
+
+	mu     sync.Mutex
+	conn   *jsonrpc2.Conn
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewClient returns a client of the process at the address. notified receives the peer's
+// notifications in order and must not block; lost is called when the connection ends.
+func NewClient(address, incarnation string, c *credential.Credential, notified func(string, json.RawMessage), lost func()) *Client {
+	return &Client{address: address, incarnation: incarnation, config: c.Client(), notified: notified, lost: lost}
+}
+
+// Call sends a request and waits for its result. An error that wraps ErrNotSent means that the
+// peer certainly did not see the request.
+func (c *Client) Call(ctx context.Context, method string, params, result any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(conn.Call(ctx, method, params, result), "call %s", method)
+}
+
+// Notify sends a notification; it is not sent when no connection is open.
+func (c *Client) Notify(ctx context.Context, method string, params any) error {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn == nil {
+		return errors.Wrap(ErrNotSent, method)
+	}
+	return errors.Wrapf(conn.Notify(ctx, method, params), "notify %s", method)
+}
+
+// Connected tells whether a connection is open.
+func (c *Client) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil
+}
+
+// Close ends the connection and waits for its goroutines.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+	c.wg.Wait()
+}
+
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.Wrap(ErrNotSent, "client is closed")
+	}
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, errors.Wrapf(ErrNotSent, "dial: %v", err)
+	}
+	secure := tls.Client(raw, c.config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrapf(ErrNotSent, "handshake: %v", err)
+	}
+	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(secure), c)
+	if err := conn.Call(ctx, MethodHello, Hello{Incarnation: c.incarnation}, nil); err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(ErrNotSent, "hello: %v", err)
+	}
+	c.conn = conn
+	c.wg.Add(1)
+	go c.run(conn)
+	return conn, nil
+}
+
+// run waits for the end of the connection.
+func (c *Client) run(conn *jsonrpc2.Conn) {
+	defer c.wg.Done()
+	<-conn.DisconnectNotify()
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	if c.lost != nil {
+		c.lost()
+	}
+}
+
+// Handle passes a notification on; it is called by jsonrpc2 in order.
+func (c *Client) Handle(_ context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if c.notified != nil && req.Params != nil {
+		c.notified(req.Method, *req.Params)
+	}
+}
+
+// stream frames messages as plain JSON objects, written whole and bounded in size.
+type stream struct {
+	conn    net.Conn
+	decoder *json.Decoder
+	limit   *io.LimitedReader
+	mu      sync.Mutex
+}
+
+func newStream(conn net.Conn) jsonrpc2.ObjectStream {
+	limit := &io.LimitedReader{R: bufio.NewReaderSize(conn, 32<<10), N: maxMessage}
+	return &stream{conn: conn, decoder: json.NewDecoder(limit), limit: limit}
+}
+
+// WriteObject writes one message.
+func (s *stream) WriteObject(obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err = s.conn.Write(append(data, '\n'))
+	return errors.Wrap(err, "write message")
+}
+
+// ReadObject reads one message; it fails when the message is too large.
+func (s *stream) ReadObject(v any) error {
+	s.limit.N = maxMessage
+	return s.decoder.Decode(v)
+}
+
+// Close closes the connection.
+func (s *stream) Close() error {
+	return s.conn.Close()
+}
--- /dev/null
+++ b/service/fleet/messages.go
@@ -0,0 +1,210 @@
+package fleet
+
+import "github.com/pistachiovane/pistachiovane/pkg/endpoint"
+
+// The methods of the fleet protocol.
+const (
+	MethodHello   = "hello"
+	MethodReserve = "reserve"
+	MethodPrefill = "prefill"
+	MethodDecode  = "decode"
+	MethodTokens  = "tokens"
+	MethodRelease = "release"
+	MethodCall    = "call"
+	MethodMirror  = "mirror"
+	MethodGossip  = "gossip"
+	MethodDebit   = "debit"
+	MethodSettle  = "settle"
+	MethodOrder   = "order"
+)
+
+// Outcome tells how an order to an agent ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeOK          Outcome = "ok"
+	OutcomeFull        Outcome = "full"
+	OutcomeLost        Outcome = "lost"
+	OutcomeCrashed     Outcome = "crashed"
+	OutcomeUnreachable Outcome = "unreachable"
+)
+
+// Hello names the incarnation of the process that opened the connection.
+type Hello struct {
+	Incarnation string `json:"incarnation"`
+}
+
+// Load is the load that rides on answers.
+type Load struct {
+	Held    int `json:"held"`
+	Free    int `json:"free"`
+	Backlog int `json:"backlog"`
+}
+
+// LoadFrom converts a load to its wire form.
+func LoadFrom(l endpoint.Load) Load {
+	return Load{Held: l.Held, Free: l.FreePieces, Backlog: l.Backlog}
+}
+
+// Endpoint converts a load from its wire form.
+func (l Load) Endpoint() endpoint.Load {
+	return endpoint.Load{Held: l.Held, FreePieces: l.Free, Backlog: l.Backlog}
+}
+
+// Attempt identifies one attempt of a request of the gateway that holds the connection.
+type Attempt struct {
+	Request uint64 `json:"request"`
+	Attempt int    `json:"attempt"`
+}
+
+// Reservation asks for a decode slot.
+type Reservation struct {
+	Attempt
+	Pieces int `json:"pieces"`
+}
+
+// Work orders a prefill or a decode.
+type Work struct {
+	Attempt
+	Account  string `json:"account"`
+	Prompt   string `json:"prompt"`
+	Tokens   int    `json:"tokens"`
+	Prefix   uint64 `json:"prefix,omitempty"`
+	Priority int    `json:"priority,omitempty"`
+	// Sent is how many tokens the caller has; Max is the largest answer.
+	Sent int `json:"sent,omitempty"`
+	Max  int `json:"max,omitempty"`
+	// Source and Handle locate the KV cache, for a decode.
+	Source string `json:"source,omitempty"`
+	Handle string `json:"handle,omitempty"`
+}
+
+// Answer ends an order.
+type Answer struct {
+	Outcome Outcome `json:"outcome"`
+	Load    Load    `json:"load"`
+	// Source and Handle locate the KV cache after a prefill.
+	Source string `json:"source,omitempty"`
+	Handle string `json:"handle,omitempty"`
+}
+
+// Tokens carries answer tokens from an agent to the gateway.
+type Tokens struct {
+	Attempt
+	// Index is the position of the first token.
+	Index int      `json:"index"`
+	Texts []string `json:"texts"`
+}
+
+// Call is a call of a plain service.
+type Call struct {
+	Account string `json:"account"`
+	Service string `json:"service"`
+	Name    string `json:"name"`
+	// Key is the caller's idempotency key; empty means none.
+	Key string `json:"key,omitempty"`
+	// Digest is the digest of the body, to tell a repeated call from another with the same key.
+	Digest uint64 `json:"digest,omitempty"`
+	Body   []byte `json:"body,omitempty"`
+	// Read marks an idempotent read.
+	Read bool `json:"read,omitempty"`
+	// Mirrors are the agents that remember the key besides this one.
+	Mirrors []string `json:"mirrors,omitempty"`
+}
+
+// CallOutcome tells how a call of a plain service ended.
+type CallOutcome string
+
+// The outcomes of a call.
+const (
+	// CallDone carries the answer, of this run or of the remembered one.
+	CallDone CallOutcome = "done"
+	// CallRunning means that the same key is running now.
+	CallRunning CallOutcome = "running"
+	// CallUnknown means that the call may have run.
+	CallUnknown CallOutcome = "unknown"
+	// CallNotRun means that it is certain that nothing reached the service.
+	CallNotRun CallOutcome = "notrun"
+	// CallConflict means that the key was used with another body.
+	CallConflict CallOutcome = "conflict"
+)
+
+// CallAnswer ends a call.
+type CallAnswer struct {
+	Outcome  CallOutcome `json:"outcome"`
+	Result   string      `json:"result,omitempty"`
+	Replayed bool        `json:"replayed,omitempty"`
+	Load     Load        `json:"load"`
+}
+
+// Mirror is a record of an idempotency key.
+type Mirror struct {
+	Account string `json:"account"`
+	Key     string `json:"key"`
+	Digest  uint64 `json:"digest"`
+	// Phase is begin, done or drop.
+	Phase  string `json:"phase"`
+	Result string `json:"result,omitempty"`
+	// Runner is the incarnation that runs the call.
+	Runner string `json:"runner"`
+}
+
+// Gossip is one exchange between gateways: versions held, lists that the other lacks, and the
+// sharing state of limits.
+type Gossip struct {
+	// Plans and Uses are the versions in force.
+	Plans uint64 `json:"plans"`
+	Uses  uint64 `json:"uses"`
+	// Lists carries whole lists that are newer than the receiver's versions.
+	Lists []List `json:"lists,omitempty"`
+	// View is the version and the members of the gateway list.
+	View        uint64   `json:"view"`
+	Members     []string `json:"members,omitempty"`
+	Incarnation string   `json:"incarnation"`
+	// Known maps gateway names to the incarnations that the sender knows.
+	Known map[string]string `json:"known,omitempty"`
+	// Asked echoes the time of the request, on an answer.
+	Asked int64 `json:"asked,omitempty"`
+	// Blames are the fingerprints of requests that crashed endpoints.
+	Blames []Blame `json:"blames,omitempty"`
+}
+
+// List is one version of a list.
+type List struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+// Blame is a shared crash record.
+type Blame struct {
+	Fingerprint uint64   `json:"fingerprint"`
+	Endpoints   []string `json:"endpoints"`
+	AgeMillis   int64    `json:"age"`
+}
+
+// Debit asks another gateway to charge its share of an account's limit.
+type Debit struct {
+	Account string  `json:"account"`
+	Tokens  float64 `json:"tokens"`
+}
+
+// DebitAnswer tells whether the debit was charged.
+type DebitAnswer struct {
+	Granted bool   `json:"granted"`
+	Grant   uint64 `json:"grant,omitempty"`
+}
+
+// Settle returns the unused part of a debit to the gateway that charged it.
+type Settle struct {
+	Grant  uint64  `json:"grant"`
+	Unused float64 `json:"unused"`
+}
+
+// Order is an order to an engine, protected by a fencing number.
+type Order struct {
+	Fence uint64 `json:"fence"`
+	Kind  string `json:"kind"`
+	Value string `json:"value"`
+}
--- /dev/null
+++ b/service/fleet/server.go
@@ -0,0 +1,150 @@
+// Package fleet is the RPC face between the system's own processes: JSON-RPC 2.0 over mutual TLS.
+package fleet
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+)
+
+// maxMessage bounds one message in bytes.
+const maxMessage = 8 << 20
+
+// Peer is the process at the other end of a connection.
+type Peer struct {
+	// Name comes from the verified certificate.
+	Name string
+	// Incarnation comes from hello; empty before it.
+	Incarnation string
+	Conn        *jsonrpc2.Conn
+	handler     Handler
+}
+
+// Owner returns the name with the incarnation.
+func (p *Peer) Owner() string {
+	return p.Name + "/" + p.Incarnation
+}
+
+// Notify sends a notification to the peer.
+func (p *Peer) Notify(ctx context.Context, method string, params any) error {
+	return errors.Wrapf(p.Conn.Notify(ctx, method, params), "notify %s", method)
+}
+
+// Handler serves the requests of peers.
+type Handler interface {
+	// Serve handles one request and returns its result. It runs on its own goroutine.
+	Serve(ctx context.Context, p *Peer, method string, params json.RawMessage) (any, error)
+	// Gone is called once when the connection of a peer has ended.
+	Gone(p *Peer)
+}
+
+// Server accepts connections of the fleet.
+type Server struct {
+	listener net.Listener
+	config   *tls.Config
+	handler  Handler
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	wg    sync.WaitGroup
+}
+
+// NewServer returns a server on the listener; it serves nothing until Serve is called.
+func NewServer(l net.Listener, c *credential.Credential, h Handler) *Server {
+	return &Server{listener: l, config: c.Server(), handler: h, conns: make(map[net.Conn]struct{})}
+}
+
+// Serve accepts connections until the context ends; it then closes them and waits for their handlers.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			break
+		}
+		s.mu.Lock()
+		s.conns[conn] = struct{}{}
+		s.mu.Unlock()
+		s.wg.Add(1)
+		go s.run(ctx, conn)
+	}
+	s.closeAll()
+	s.wg.Wait()
+	return ctx.Err()
+}
+
+// run serves one connection until it ends.
+func (s *Server) run(ctx context.Context, conn net.Conn) {
+	defer s.wg.Done()
+	defer s.drop(conn)
+	secure := tls.Server(conn, s.config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return
+	}
+	peer := &Peer{Name: credential.PeerName(secure.ConnectionState()), handler: s.handler}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peer.Conn = jsonrpc2.NewConn(ctx, newStream(secure), peer)
+	<-peer.Conn.DisconnectNotify()
+	s.handler.Gone(peer)
+}
+
+func (s *Server) drop(conn net.Conn) {
+	_ = conn.Close()
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+// Handle serves one request of the peer; it is called by jsonrpc2. The hello is handled in order,
+// all else on a goroutine of its own.
+func (p *Peer) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == MethodHello {
+		var hello Hello
+		if err := decode(req.Params, &hello); err == nil {
+			p.Incarnation = hello.Incarnation
+		}
+		_ = conn.Reply(ctx, req.ID, struct{}{})
+		return
+	}
+	go p.serve(ctx, conn, req)
+}
+
+func (p *Peer) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	result, err := p.handler.Serve(ctx, p, req.Method, params)
+	if req.Notif {
+		return
+	}
+	if err != nil {
+		_ = conn.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
+		return
+	}
+	_ = conn.Reply(ctx, req.ID, result)
+}
+
+func decode(params *json.RawMessage, into any) error {
+	if params == nil {
+		return errors.New("no params")
+	}
+	return errors.Wrap(json.Unmarshal(*params, into), "decode params")
+}
