--- /dev/null
+++ b/pkg/inifile/inifile.go
@@ -0,0 +1,239 @@
+// Package inifile reads INI text and checks its values, collecting findings with their place.
+package inifile
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/pistachiovane/pistachiovane/pkg/finding"
+)
+
+// MaxBytes is the largest file accepted, the platform's bound on a value.
+const MaxBytes = 1 << 20
+
+// File is INI text that was read.
+type File struct {
+	name     string
+	sections []*Section
+	findings finding.Findings
+}
+
+// Section is one section of a file.
+type Section struct {
+	file *File
+	// Name is the whole section name, such as "account studio".
+	Name string
+	line int
+	keys map[string]string
+	// lines maps a key to its line.
+	lines map[string]int
+	// used marks the keys that were asked for.
+	used map[string]bool
+}
+
+// New reads text; faults of syntax are among the findings.
+func New(name string, text []byte) *File {
+	f := &File{name: name}
+	if len(text) > MaxBytes {
+		f.add(1, "", "", "the file has "+strconv.Itoa(len(text))+" bytes, at most "+strconv.Itoa(MaxBytes)+" are allowed")
+		return f
+	}
+	options := ini.LoadOptions{AllowNonUniqueSections: true, AllowShadows: true, SkipUnrecognizableLines: false}
+	loaded, err := ini.LoadSources(options, text)
+	if err != nil {
+		f.add(1, "", "", "not INI: "+err.Error())
+		return f
+	}
+	f.collect(loaded, newPlaces(string(text)))
+	return f
+}
+
+// Sections returns the sections in file order.
+func (f *File) Sections() []*Section {
+	return f.sections
+}
+
+// Findings returns what is wrong so far, with a finding for each key that nothing asked for.
+func (f *File) Findings() finding.Findings {
+	out := append(finding.Findings(nil), f.findings...)
+	for _, s := range f.sections {
+		for k := range s.keys {
+			if !s.used[k] {
+				out = append(out, finding.Finding{File: f.name, Line: s.lines[k], Section: s.Name, Key: k, Message: "unknown key"})
+			}
+		}
+	}
+	return out.Sorted()
+}
+
+func (f *File) add(line int, section, key, message string) {
+	f.findings = append(f.findings, finding.Finding{File: f.name, Line: line, Section: section, Key: key, Message: message})
+}
+
+func (f *File) collect(loaded *ini.File, p *places) {
+	seen := make(map[string]bool)
+	for _, s := range loaded.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		place := p.next(s.Name())
+		section := &Section{file: f, Name: s.Name(), line: place.line, keys: make(map[string]string), lines: place.keys, used: make(map[string]bool)}
+		if seen[s.Name()] {
+			f.add(place.line, s.Name(), "", "the section stands twice")
+		}
+		seen[s.Name()] = true
+		for _, k := range s.Keys() {
+			if len(k.ValueWithShadows()) > 1 {
+				f.add(place.keys[k.Name()], s.Name(), k.Name(), "the key stands twice")
+			}
+			section.keys[k.Name()] = k.String()
+		}
+		f.sections = append(f.sections, section)
+	}
+}
+
+// Split returns the first word of the section's name and the rest.
+func (s *Section) Split() (kind, name string) {
+	kind, name, _ = strings.Cut(s.Name, " ")
+	return kind, strings.TrimSpace(name)
+}
+
+// Fault records a finding at the key, or at the section when the key is empty.
+func (s *Section) Fault(key, message string) {
+	line := s.line
+	if l, ok := s.lines[key]; ok {
+		line = l
+	}
+	s.file.add(line, s.Name, key, message)
+}
+
+// String returns the value of the key, or the default when it is missing.
+func (s *Section) String(key, fallback string) string {
+	s.used[key] = true
+	if v, ok := s.keys[key]; ok {
+		return v
+	}
+	return fallback
+}
+
+// Required returns the value of the key; a missing or empty one is a finding.
+func (s *Section) Required(key string) string {
+	v := s.String(key, "")
+	if v == "" {
+		s.Fault(key, "is missing")
+	}
+	return v
+}
+
+// Words returns the comma-separated words of the key.
+func (s *Section) Words(key string) []string {
+	var out []string
+	for _, w := range strings.Split(s.String(key, ""), ",") {
+		if w = strings.TrimSpace(w); w != "" {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// Number returns the value of the key within [low, high].
+func (s *Section) Number(key string, fallback, low, high float64) float64 {
+	text := s.String(key, "")
+	if text == "" {
+		return fallback
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(v) {
+		s.Fault(key, strconv.Quote(text)+" is not a number")
+		return fallback
+	}
+	if v < low || v > high {
+		s.Fault(key, text+" is not within "+format(low)+" and "+format(high))
+		return fallback
+	}
+	return v
+}
+
+// Duration returns the value of the key, such as 250ms, within [low, high].
+func (s *Section) Duration(key string, fallback, low, high time.Duration) time.Duration {
+	text := s.String(key, "")
+	if text == "" {
+		return fallback
+	}
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		s.Fault(key, strconv.Quote(text)+" is not a duration with a unit, such as 250ms")
+		return fallback
+	}
+	if v < low || v > high {
+		s.Fault(key, text+" is not within "+low.String()+" and "+high.String())
+		return fallback
+	}
+	return v
+}
+
+// Bool returns whether the value of the key is yes.
+func (s *Section) Bool(key string, fallback bool) bool {
+	switch text := s.String(key, ""); text {
+	case "":
+		return fallback
+	case "yes":
+		return true
+	case "no":
+		return false
+	default:
+		s.Fault(key, strconv.Quote(text)+" is neither yes nor no")
+		return fallback
+	}
+}
+
+func format(v float64) string {
+	return strconv.FormatFloat(v, 'g', -1, 64)
+}
+
+// places finds the lines of sections and keys, which the INI library does not tell.
+type places struct {
+	sections map[string][]place
+}
+
+type place struct {
+	line int
+	keys map[string]int
+}
+
+func newPlaces(text string) *places {
+	p := &places{sections: make(map[string][]place)}
+	name := ini.DefaultSection
+	p.sections[name] = []place{{line: 1, keys: make(map[string]int)}}
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.Contains(line, "]") {
+			name = strings.TrimSpace(line[1:strings.Index(line, "]")])
+			p.sections[name] = append(p.sections[name], place{line: i + 1, keys: make(map[string]int)})
+			continue
+		}
+		key, _, ok := strings.Cut(line, "=")
+		if !ok || strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
+			continue
+		}
+		here := p.sections[name]
+		here[len(here)-1].keys[strings.TrimSpace(key)] = i + 1
+	}
+	return p
+}
+
+// next returns the place of the next section of that name in file order.
+func (p *places) next(name string) place {
+	list := p.sections[name]
+	if len(list) == 0 {
+		return place{line: 1, keys: map[string]int{}}
+	}
+	if len(list) > 1 {
+		p.sections[name] = list[1:]
+	}
+	return list[0]
+}
--- /dev/null
+++ b/pkg/parser/parser.go
@@ -0,0 +1,198 @@
+// Package parser reads the two lists: customers' plans, and what each plan may use. The whole of
+// both is checked before any of it is accepted.
+package parser
+
+import (
+	"encoding/hex"
+	"math"
+	"regexp"
+	"strconv"
+
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/finding"
+	"github.com/pistachiovane/pistachiovane/pkg/inifile"
+)
+
+const (
+	// maxRate and maxBurst bound a plan in tokens.
+	maxRate  = 1e9
+	maxBurst = 1e10
+	// maxWeight bounds the share in fair queues.
+	maxWeight = 1000
+	// maxOutput bounds max_tokens.
+	maxOutput = 100000
+	// maxCost bounds the charge of one call in tokens.
+	maxCost = 1e6
+	// maxKeys bounds the keys of one account.
+	maxKeys = 16
+)
+
+var word = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Text is the text of one list.
+type Text struct {
+	Name string
+	Body []byte
+}
+
+// Parser reads lists.
+type Parser struct {
+	plans    *inifile.File
+	uses     *inifile.File
+	accounts []catalog.Account
+	planned  []catalog.Plan
+	routes   []catalog.Route
+	versions [2]uint64
+	// owners maps a key digest to the account that has it.
+	owners map[catalog.Digest]string
+}
+
+// Parse returns the catalog of both lists, or all findings.
+func Parse(plans, uses Text) (*catalog.Catalog, finding.Findings) {
+	p := &Parser{
+		plans:  inifile.New(plans.Name, plans.Body),
+		uses:   inifile.New(uses.Name, uses.Body),
+		owners: make(map[catalog.Digest]string),
+	}
+	p.readUses()
+	p.readPlans()
+	if all := append(p.uses.Findings(), p.plans.Findings()...); len(all) > 0 {
+		return nil, all.Sorted()
+	}
+	return catalog.New(p.versions[0], p.versions[1], p.accounts, p.planned, p.routes), nil
+}
+
+// Version returns the version that a list names; ok is false when it names none.
+func Version(t Text) (version uint64, ok bool) {
+	for _, s := range inifile.New(t.Name, t.Body).Sections() {
+		if s.Name != "list" {
+			continue
+		}
+		version, err := strconv.ParseUint(s.String("version", ""), 10, 64)
+		return version, err == nil && version > 0
+	}
+	return 0, false
+}
+
+func (p *Parser) readUses() {
+	for _, s := range p.uses.Sections() {
+		switch kind, name := s.Split(); kind {
+		case "list":
+			p.versions[1] = readVersion(s)
+		case "route":
+			p.readRoute(s, name)
+		case "plan":
+			p.planned = append(p.planned, catalog.Plan{Name: checkWord(s, name), Routes: s.Words("routes"), Output: int(s.Number("output", 0, 0, maxOutput))})
+		default:
+			s.Fault("", "unknown section; list, route and plan are known")
+		}
+	}
+	p.checkRoutes()
+}
+
+func (p *Parser) readRoute(s *inifile.Section, name string) {
+	r := catalog.Route{
+		Name:   checkWord(s, name),
+		Kind:   catalog.RouteKind(s.Required("kind")),
+		Target: s.Required("target"),
+		Repeat: s.Bool("repeat", false),
+		Cost:   s.Number("cost", 0, 0, maxCost),
+		Fenced: s.Bool("fenced", false),
+	}
+	switch r.Kind {
+	case catalog.RouteModel, catalog.RouteService, catalog.RouteOpen, "":
+	default:
+		s.Fault("kind", strconv.Quote(string(r.Kind))+" is not model, service or open")
+	}
+	p.routes = append(p.routes, r)
+}
+
+// checkRoutes finds plans that name a route that is not there.
+func (p *Parser) checkRoutes() {
+	known := make(map[string]bool, len(p.routes))
+	for _, r := range p.routes {
+		known[r.Name] = true
+	}
+	for _, s := range p.uses.Sections() {
+		if kind, _ := s.Split(); kind != "plan" {
+			continue
+		}
+		for _, name := range s.Words("routes") {
+			if !known[name] {
+				s.Fault("routes", "route "+strconv.Quote(name)+" is not in the list")
+			}
+		}
+	}
+}
+
+func (p *Parser) readPlans() {
+	known := make(map[string]bool, len(p.planned))
+	for _, plan := range p.planned {
+		known[plan.Name] = true
+	}
+	for _, s := range p.plans.Sections() {
+		switch kind, name := s.Split(); kind {
+		case "list":
+			p.versions[0] = readVersion(s)
+		case "account":
+			p.readAccount(s, name, known)
+		default:
+			s.Fault("", "unknown section; list and account are known")
+		}
+	}
+}
+
+func (p *Parser) readAccount(s *inifile.Section, name string, plans map[string]bool) {
+	a := catalog.Account{
+		Name:   checkWord(s, name),
+		Plan:   s.Required("plan"),
+		Rate:   s.Number("rate", 0, math.SmallestNonzeroFloat64, maxRate),
+		Burst:  s.Number("burst", 0, 1, maxBurst),
+		Weight: s.Number("weight", 1, 0.001, maxWeight),
+	}
+	s.Required("rate")
+	s.Required("burst")
+	if a.Plan != "" && !plans[a.Plan] {
+		s.Fault("plan", "plan "+strconv.Quote(a.Plan)+" is not in the uses list")
+	}
+	a.Keys = p.readKeys(s, a.Name)
+	p.accounts = append(p.accounts, a)
+}
+
+func (p *Parser) readKeys(s *inifile.Section, account string) []catalog.Digest {
+	s.Required("keys")
+	var out []catalog.Digest
+	for _, text := range s.Words("keys") {
+		raw, err := hex.DecodeString(text)
+		if err != nil || len(raw) != len(catalog.Digest{}) {
+			s.Fault("keys", "a digest is not 64 hexadecimal digits; make it with: pistachiovane key")
+			continue
+		}
+		d := catalog.Digest(raw)
+		if owner, ok := p.owners[d]; ok {
+			s.Fault("keys", "a key is given to account "+strconv.Quote(owner)+" already")
+			continue
+		}
+		p.owners[d] = account
+		out = append(out, d)
+	}
+	if len(out) > maxKeys {
+		s.Fault("keys", "more than "+strconv.Itoa(maxKeys)+" keys")
+	}
+	return out
+}
+
+func readVersion(s *inifile.Section) uint64 {
+	v, err := strconv.ParseUint(s.Required("version"), 10, 64)
+	if err != nil || v == 0 {
+		s.Fault("version", "is not a whole number above zero")
+	}
+	return v
+}
+
+func checkWord(s *inifile.Section, name string) string {
+	if !word.MatchString(name) {
+		s.Fault("", strconv.Quote(name)+" is not one word of letters, digits, dots and dashes")
+	}
+	return name
+}
--- /dev/null
+++ b/service/platform/platform.go
@@ -0,0 +1,113 @@
+// Package platform reads what the platform publishes: the two lists and the VM list.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+)
+
+const (
+	maxValue       = 1 << 20
+	requestTimeout = 3 * time.Second
+)
+
+// Value is one version of a list.
+type Value struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Text    string `json:"text"`
+}
+
+// VM is one entry of the VM list.
+type VM struct {
+	ID      string `json:"id"`
+	Kind    string `json:"kind"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Role    string `json:"role,omitempty"`
+	Model   string `json:"model,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// KindGateway and KindEndpoint are the kinds of VMs.
+const (
+	KindGateway  = "gateway"
+	KindEndpoint = "endpoint"
+)
+
+// Endpoint converts an entry of an endpoint VM; ok is false for any other.
+func (v VM) Endpoint() (e endpoint.Endpoint, ok bool) {
+	role, known := endpoint.ParseRole(v.Role)
+	if v.Kind != KindEndpoint || !known {
+		return endpoint.Endpoint{}, false
+	}
+	return endpoint.Endpoint{ID: v.ID, Address: v.Address, Domain: v.Domain, Model: v.Model, Role: role, Slots: v.Slots, Leaving: v.Leaving}, true
+}
+
+// VMs is one version of the VM list.
+type VMs struct {
+	Version uint64 `json:"version"`
+	VMs     []VM   `json:"vms"`
+}
+
+// Client reads from the platform.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the platform at the base URL.
+func New(base string, client *http.Client) *Client {
+	return &Client{base: base, http: client}
+}
+
+// Value reads a list; with after above zero it waits a while for a version above it and returns
+// the present one when none comes.
+func (c *Client) Value(ctx context.Context, name string, after uint64, wait time.Duration) (Value, error) {
+	path := "/v1/values/" + url.PathEscape(name)
+	if after > 0 {
+		path += "?after=" + strconv.FormatUint(after, 10) + "&wait=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	}
+	var v Value
+	err := c.get(ctx, path, wait+requestTimeout, &v)
+	return v, err
+}
+
+// VMs reads the VM list.
+func (c *Client) VMs(ctx context.Context) (VMs, error) {
+	var v VMs
+	err := c.get(ctx, "/v1/vms", requestTimeout, &v)
+	return v, err
+}
+
+func (c *Client) get(ctx context.Context, path string, timeout time.Duration, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, http.NoBody)
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "read platform")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("platform answered %d for %s", resp.StatusCode, path)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 2*maxValue))
+	if err != nil {
+		return errors.Wrap(err, "read body")
+	}
+	return errors.Wrap(json.Unmarshal(body, into), "decode body")
+}
