--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,133 @@
+// Package agent is the process beside each endpoint: its last door.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiovane/pistachiovane/agent/caller"
+	"github.com/pistachiovane/pistachiovane/agent/executor"
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+	"github.com/pistachiovane/pistachiovane/pkg/deduplicator"
+	"github.com/pistachiovane/pistachiovane/pkg/settings"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+// drainPoll is how often a draining agent looks whether its work has ended.
+const drainPoll = 20 * time.Millisecond
+
+// Agent is the root supervisor of the process.
+type Agent struct {
+	settings    settings.Settings
+	incarnation string
+	credential  *credential.Credential
+	log         *log.Logger
+	supervisor  *suture.Supervisor
+	server      *fleet.Server
+	executor    *executor.Executor
+	caller      *caller.Caller
+	transport   *http.Transport
+
+	mu sync.Mutex
+	// peers are the connections to other agents, by address.
+	peers map[string]*fleet.Client
+}
+
+// New returns an agent that accepts the fleet on the listener. It fails when the credentials can't be made.
+func New(s settings.Settings, l net.Listener, logger *log.Logger) (*Agent, error) {
+	c, err := credential.New(s.Fleet.Secret, s.Name, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		settings: s, incarnation: uuid.NewString(), credential: c, log: logger,
+		supervisor: suture.New("agent", suture.Spec{PassThroughPanics: true}),
+		transport:  &http.Transport{MaxIdleConnsPerHost: 256},
+		peers:      make(map[string]*fleet.Client),
+	}
+	client := &http.Client{Transport: a.transport}
+	a.executor = executor.New(executor.Options{
+		Engine: s.Engine.URL, Slots: s.Engine.Slots, Pieces: s.Engine.Pieces, Life: s.Engine.Reserve, Fence: s.Engine.Fence,
+	}, client)
+	memory := deduplicator.New(s.Service.Window, s.Service.Keys)
+	a.caller = caller.New(s.Service.URL, a.incarnation, memory, s.Service.Window, client, a.mirror)
+	a.server = fleet.NewServer(l, c, &handler{agent: a})
+	a.supervisor.Add(a.executor)
+	a.supervisor.Add(a.server)
+	return a, nil
+}
+
+// Serve runs the agent until the context ends.
+func (a *Agent) Serve(ctx context.Context) error {
+	a.log.Info().Str("name", a.settings.Name).Msg("agent: started")
+	err := a.supervisor.Serve(ctx)
+	a.closePeers()
+	a.transport.CloseIdleConnections()
+	return err
+}
+
+// Drain refuses new work and returns when all work has ended or the context ends.
+func (a *Agent) Drain(ctx context.Context) {
+	a.executor.Drain()
+	a.caller.Drain()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for a.executor.Busy()+a.caller.Busy() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// State is the dump of an agent.
+type State struct {
+	Name        string     `json:"name"`
+	Incarnation string     `json:"incarnation"`
+	Load        fleet.Load `json:"load"`
+	Calls       int        `json:"calls"`
+}
+
+// State returns the present state; it holds no secrets.
+func (a *Agent) State() any {
+	return State{Name: a.settings.Name, Incarnation: a.incarnation, Load: fleet.LoadFrom(a.executor.Load()), Calls: a.caller.Busy()}
+}
+
+// Ready tells whether the agent takes work.
+func (a *Agent) Ready() bool {
+	return true
+}
+
+// mirror sends a record of an idempotency key to another agent.
+func (a *Agent) mirror(ctx context.Context, address string, m fleet.Mirror) (fleet.Mirror, error) {
+	var held fleet.Mirror
+	err := a.peer(address).Call(ctx, fleet.MethodMirror, m, &held)
+	return held, err
+}
+
+func (a *Agent) peer(address string) *fleet.Client {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c, ok := a.peers[address]
+	if !ok {
+		c = fleet.NewClient(address, a.incarnation, a.credential, nil, nil)
+		a.peers[address] = c
+	}
+	return c
+}
+
+func (a *Agent) closePeers() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.peers {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/agent/handler.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+// handler serves the fleet protocol for an agent.
+type handler struct {
+	agent *Agent
+}
+
+// Serve handles one request of a gateway or of another agent. It fails on params that do not
+// decode and on unknown methods.
+func (h *handler) Serve(ctx context.Context, p *fleet.Peer, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case fleet.MethodReserve:
+		return handle(params, func(r fleet.Reservation) any { return h.agent.executor.Reserve(p, r) })
+	case fleet.MethodPrefill:
+		return handle(params, func(w fleet.Work) any { return h.agent.executor.Prefill(ctx, p, w) })
+	case fleet.MethodDecode:
+		return handle(params, func(w fleet.Work) any { return h.agent.executor.Decode(ctx, p, w) })
+	case fleet.MethodRelease:
+		return handle(params, func(a fleet.Attempt) any { h.agent.executor.Release(p, a); return nil })
+	case fleet.MethodCall:
+		return handle(params, func(c fleet.Call) any { return h.agent.caller.Call(ctx, c) })
+	case fleet.MethodMirror:
+		return handle(params, func(m fleet.Mirror) any { return h.agent.caller.Remember(m) })
+	case fleet.MethodOrder:
+		return handle(params, func(o fleet.Order) any { return h.agent.executor.Order(ctx, o) })
+	default:
+		return nil, errors.Errorf("unknown method %q", method)
+	}
+}
+
+// Gone frees all that a connection owned.
+func (h *handler) Gone(p *fleet.Peer) {
+	h.agent.executor.DropOwner(p)
+}
+
+func handle[T any](params json.RawMessage, serve func(T) any) (any, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		return nil, errors.Wrap(err, "decode params")
+	}
+	return serve(v), nil
+}
--- /dev/null
+++ b/pkg/deduplicator/deduplicator.go
@@ -0,0 +1,115 @@
+// Package deduplicator remembers idempotency keys so that a call runs at most once.
+//
+// A key is remembered by three agents: the one that runs the call and two mirrors in other failure
+// domains. A call runs only after two of the three hold a fresh record of it, so any two runs of one
+// key would have met in a common agent. A runner that starts without memory learns of earlier
+// runs from the mirrors, because they answer a new record with the one that they hold.
+package deduplicator
+
+import "time"
+
+// Phase is the state of a record.
+type Phase uint8
+
+// The phases of a record.
+const (
+	// Running means that the call may be running, or may have run without a known answer.
+	Running Phase = iota + 1
+	// Done means that the answer is known.
+	Done
+)
+
+// ID names a key of a client account.
+type ID struct {
+	Account string
+	Key     string
+}
+
+// Record is what is remembered of a key.
+type Record struct {
+	// Digest is that of the body; another body under the same key is a conflict.
+	Digest uint64
+	Phase  Phase
+	Result string
+	// Runner is the incarnation that runs the call.
+	Runner string
+}
+
+// WithResult returns a copy that is done.
+func (r Record) WithResult(result string) Record {
+	r.Phase = Done
+	r.Result = result
+	return r
+}
+
+type kept struct {
+	Record
+	at time.Duration
+}
+
+// Deduplicator holds records for a window of time. It is not safe for concurrent use.
+type Deduplicator struct {
+	window  time.Duration
+	limit   int
+	records map[ID]kept
+	// order lists the records by age, oldest first.
+	order []aged
+}
+
+type aged struct {
+	id ID
+	at time.Duration
+}
+
+// New returns an empty memory that holds at most limit records, each for window after its begin.
+func New(window time.Duration, limit int) *Deduplicator {
+	return &Deduplicator{window: window, limit: limit, records: make(map[ID]kept)}
+}
+
+// Put remembers a new record. When one is held already it is returned instead, with found set.
+// ok is false when the memory is full of records that are still in their window.
+func (d *Deduplicator) Put(id ID, r Record, now time.Duration) (held Record, found, ok bool) {
+	d.expire(now)
+	if k, exists := d.records[id]; exists {
+		return k.Record, true, true
+	}
+	if len(d.records) >= d.limit {
+		return Record{}, false, false
+	}
+	d.records[id] = kept{Record: r, at: now}
+	d.order = append(d.order, aged{id: id, at: now})
+	return r, false, true
+}
+
+// Finish stores the answer of a record that the runner holds; it starts one where none is held.
+func (d *Deduplicator) Finish(id ID, r Record, result string, now time.Duration) {
+	held, found, ok := d.Put(id, r.WithResult(result), now)
+	if !ok || !found || held.Runner != r.Runner {
+		return
+	}
+	k := d.records[id]
+	k.Record = r.WithResult(result)
+	d.records[id] = k
+}
+
+// Drop forgets a record whose call certainly did not run; only its runner may drop it.
+func (d *Deduplicator) Drop(id ID, runner string) {
+	if k, ok := d.records[id]; ok && k.Runner == runner && k.Phase == Running {
+		delete(d.records, id)
+	}
+}
+
+// Len returns how many records are held.
+func (d *Deduplicator) Len() int {
+	return len(d.records)
+}
+
+func (d *Deduplicator) expire(now time.Duration) {
+	for len(d.order) > 0 && now-d.order[0].at > d.window {
+		first := d.order[0]
+		d.order = d.order[1:]
+		if k, ok := d.records[first.id]; ok && k.at == first.at {
+			delete(d.records, first.id)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,238 @@
+// Package settings reads the settings of a process from INI.
+package settings
+
+import (
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/pkg/finding"
+	"github.com/pistachiovane/pistachiovane/pkg/inifile"
+)
+
+// Settings are the checked settings of one process.
+type Settings struct {
+	Name     string
+	Domain   string
+	Fleet    Fleet
+	Operator string
+	Platform Platform
+	Callers  Callers
+	Route    Route
+	Engine   Engine
+	Service  Service
+}
+
+// Fleet is how the process meets the others.
+type Fleet struct {
+	Listen string
+	// SecretFile names the file that holds the secret.
+	SecretFile string
+	// Secret is set by Load only, and never printed.
+	Secret []byte
+}
+
+// Platform is where the platform publishes.
+type Platform struct {
+	URL  string
+	Poll time.Duration
+}
+
+// Callers is the caller's port.
+type Callers struct {
+	Listen string
+	Cert   string
+	Key    string
+	// Body and Header are in bytes.
+	Body   int64
+	Header int
+	Slow   time.Duration
+}
+
+// Route is how requests are placed.
+type Route struct {
+	Policy string
+	// First is the first-token deadline of interactive requests.
+	First time.Duration
+	// Prefill is in tokens a second.
+	Prefill float64
+	// Piece is in tokens.
+	Piece int
+	Queue int
+}
+
+// Engine is the model engine beside an agent; URL is empty for an agent of a plain service.
+type Engine struct {
+	URL     string
+	Slots   int
+	Pieces  int
+	Reserve time.Duration
+	Fence   bool
+}
+
+// Service is the plain service beside an agent; URL is empty for an agent of a model engine.
+type Service struct {
+	URL    string
+	Window time.Duration
+	Keys   int
+}
+
+// Load reads a settings file and the secret that it names.
+func Load(path string) (Settings, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	s, findings := Parse(path, body)
+	if len(findings) > 0 {
+		return Settings{}, findings
+	}
+	s.Fleet.Secret, err = os.ReadFile(s.Fleet.SecretFile)
+	return s, errors.Wrap(err, "read fleet secret")
+}
+
+// Default returns the settings with every default in place.
+func Default() Settings {
+	s, _ := Parse("default", nil)
+	return s
+}
+
+// Parse reads settings; all faults are reported together.
+func Parse(name string, body []byte) (Settings, finding.Findings) {
+	r := newReader(name, body)
+	s := Settings{
+		Name:     r.text("process", "name"),
+		Domain:   r.text("process", "domain"),
+		Fleet:    Fleet{Listen: r.text("fleet", "listen"), SecretFile: r.text("fleet", "secret")},
+		Operator: r.text("operator", "listen"),
+		Platform: Platform{URL: r.text("platform", "url"), Poll: r.duration("platform", "poll")},
+		Callers:  r.callers(),
+		Route:    r.route(),
+		Engine:   r.engine(),
+		Service: Service{
+			URL:    r.text("service", "url"),
+			Window: r.duration("service", "window"),
+			Keys:   int(r.number("service", "keys")),
+		},
+	}
+	r.require("process", "name", s.Name)
+	r.require("fleet", "secret", s.Fleet.SecretFile)
+	r.require("platform", "url", s.Platform.URL)
+	if (s.Callers.Cert == "") != (s.Callers.Key == "") {
+		r.section("callers").Fault("cert", "cert and key go together")
+	}
+	return s, r.findings()
+}
+
+// reader reads keys by their specs.
+type reader struct {
+	name     string
+	file     *inifile.File
+	sections map[string]*inifile.Section
+	extra    finding.Findings
+}
+
+func newReader(name string, body []byte) *reader {
+	r := &reader{name: name, file: inifile.New(name, body), sections: make(map[string]*inifile.Section)}
+	known := make(map[string]bool)
+	for i := range specs {
+		known[specs[i].section] = true
+	}
+	for _, s := range r.file.Sections() {
+		if !known[s.Name] {
+			s.Fault("", "unknown section")
+		}
+		r.sections[s.Name] = s
+	}
+	return r
+}
+
+// section returns a section of the file, or an empty one.
+func (r *reader) section(name string) *inifile.Section {
+	s, ok := r.sections[name]
+	if !ok {
+		empty := inifile.New(r.name, []byte("["+name+"]\n"))
+		s = empty.Sections()[0]
+		r.sections[name] = s
+	}
+	return s
+}
+
+func (r *reader) find(section, key string) *spec {
+	for i := range specs {
+		if specs[i].section == section && specs[i].key == key {
+			return &specs[i]
+		}
+	}
+	panic("settings: no spec for " + section + " " + key)
+}
+
+func (r *reader) text(section, key string) string {
+	return r.section(section).String(key, r.find(section, key).fallback)
+}
+
+func (r *reader) number(section, key string) float64 {
+	p := r.find(section, key)
+	fallback, err := strconv.ParseFloat(p.fallback, 64)
+	if err != nil {
+		panic("settings: bad default of " + section + " " + key)
+	}
+	return r.section(section).Number(key, fallback, p.low, p.high)
+}
+
+func (r *reader) duration(section, key string) time.Duration {
+	p := r.find(section, key)
+	fallback, err := time.ParseDuration(p.fallback)
+	if err != nil {
+		panic("settings: bad default of " + section + " " + key)
+	}
+	return r.section(section).Duration(key, fallback, p.shortest, p.longest)
+}
+
+func (r *reader) bool(section, key string) bool {
+	return r.section(section).Bool(key, r.find(section, key).fallback == "yes")
+}
+
+func (r *reader) callers() Callers {
+	return Callers{
+		Listen: r.text("callers", "listen"),
+		Cert:   r.text("callers", "cert"),
+		Key:    r.text("callers", "key"),
+		Body:   int64(r.number("callers", "body")),
+		Header: int(r.number("callers", "header")),
+		Slow:   r.duration("callers", "slow"),
+	}
+}
+
+func (r *reader) route() Route {
+	return Route{
+		Policy:  r.text("route", "policy"),
+		First:   r.duration("route", "first"),
+		Prefill: r.number("route", "prefill"),
+		Piece:   int(r.number("route", "piece")),
+		Queue:   int(r.number("route", "queue")),
+	}
+}
+
+func (r *reader) engine() Engine {
+	return Engine{
+		URL:     r.text("engine", "url"),
+		Slots:   int(r.number("engine", "slots")),
+		Pieces:  int(r.number("engine", "pieces")),
+		Reserve: r.duration("engine", "reserve"),
+		Fence:   r.bool("engine", "fence"),
+	}
+}
+
+// require records a finding for a key without a value; the section may be missing from the file.
+func (r *reader) require(section, key, value string) {
+	if value == "" {
+		r.extra = append(r.extra, finding.Finding{File: r.name, Line: 1, Section: section, Key: key, Message: "is missing"})
+	}
+}
+
+func (r *reader) findings() finding.Findings {
+	return append(r.file.Findings(), r.extra...).Sorted()
+}
--- a/standin/engine/messages.go
+++ b/service/engine/messages.go
@@ -1,3 +1,4 @@
+// Package engine is the wire form of a model engine's HTTP interface.
 package engine
 
 // PrefillRequest is the body of POST /v1/prefill.
--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -6,7 +6,9 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -25,11 +27,20 @@
 	Incarnation string
 	Conn        *jsonrpc2.Conn
 	handler     Handler
+	// sequence is unique among the connections of the server.
+	sequence uint64
+	gone     atomic.Bool
 }
 
-// Owner returns the name with the incarnation.
+// Owner names the connection: what the peer holds over it is gone when it ends, and a new
+// connection of the same peer owns nothing of the old one.
 func (p *Peer) Owner() string {
-	return p.Name + "/" + p.Incarnation
+	return p.Name + "@" + p.Incarnation + "." + strconv.FormatUint(p.sequence, 10)
+}
+
+// Gone tells whether the connection has ended.
+func (p *Peer) Gone() bool {
+	return p.gone.Load()
 }
 
 // Notify sends a notification to the peer.
@@ -51,9 +62,10 @@
 	config   *tls.Config
 	handler  Handler
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	wg    sync.WaitGroup
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	wg       sync.WaitGroup
+	sequence atomic.Uint64
 }
 
 // NewServer returns a server on the listener; it serves nothing until Serve is called.
@@ -89,11 +101,12 @@
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return
 	}
-	peer := &Peer{Name: credential.PeerName(secure.ConnectionState()), handler: s.handler}
+	peer := &Peer{Name: credential.PeerName(secure.ConnectionState()), handler: s.handler, sequence: s.sequence.Add(1)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peer.Conn = jsonrpc2.NewConn(ctx, newStream(secure), peer)
 	<-peer.Conn.DisconnectNotify()
+	peer.gone.Store(true)
 	s.handler.Gone(peer)
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	wire "github.com/pistachiovane/pistachiovane/service/engine"
 	"github.com/pistachiovane/pistachiovane/standin/model"
 )
 
@@ -38,7 +39,7 @@
 	waiting map[string]chan model.Output
 	wake    chan struct{}
 	highest uint64
-	orders  []OrderRequest
+	orders  []wire.OrderRequest
 	// downUntil is when a crashed engine answers again.
 	downUntil time.Duration
 	crashed   chan struct{}
@@ -93,10 +94,10 @@
 }
 
 // Load returns the present load.
-func (e *Engine) Load() LoadAnswer {
+func (e *Engine) Load() wire.LoadAnswer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return LoadAnswer{
+	return wire.LoadAnswer{
 		Streams: e.model.Streams(), Backlog: e.model.Backlog(), Free: e.model.FreePieces(),
 		Kept: e.model.Kept(), Worked: e.model.Worked(),
 	}
@@ -113,10 +114,10 @@
 }
 
 // Orders returns the orders carried out so far.
-func (e *Engine) Orders() []OrderRequest {
+func (e *Engine) Orders() []wire.OrderRequest {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]OrderRequest(nil), e.orders...)
+	return append([]wire.OrderRequest(nil), e.orders...)
 }
 
 func (e *Engine) now() time.Duration {
@@ -172,7 +173,7 @@
 }
 
 func (e *Engine) servePrefill(w http.ResponseWriter, r *http.Request) {
-	var req PrefillRequest
+	var req wire.PrefillRequest
 	if !readBody(w, r, &req) {
 		return
 	}
@@ -188,7 +189,7 @@
 	select {
 	case <-out:
 		done = true
-		writeBody(w, PrefillAnswer{Handle: req.ID})
+		writeBody(w, wire.PrefillAnswer{Handle: req.ID})
 	case <-crashed:
 		abort()
 	case <-r.Context().Done():
@@ -196,7 +197,7 @@
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	var req DecodeRequest
+	var req wire.DecodeRequest
 	if !readBody(w, r, &req) {
 		return
 	}
@@ -220,7 +221,7 @@
 }
 
 func (e *Engine) serveDecode(w http.ResponseWriter, r *http.Request) {
-	var req DecodeRequest
+	var req wire.DecodeRequest
 	if !readBody(w, r, &req) {
 		return
 	}
@@ -244,7 +245,7 @@
 	e.stream(w, r, req, out, crashed)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, req DecodeRequest, out chan model.Output, crashed chan struct{}) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, req wire.DecodeRequest, out chan model.Output, crashed chan struct{}) {
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
 	w.Header().Set("Content-Type", "application/x-ndjson")
@@ -252,10 +253,10 @@
 		select {
 		case o := <-out:
 			if o.Kind == model.StreamEnd {
-				_ = encoder.Encode(Chunk{Index: o.Index, End: true})
+				_ = encoder.Encode(wire.Chunk{Index: o.Index, End: true})
 				return
 			}
-			_ = encoder.Encode(Chunk{Index: o.Index, Text: TokenText(req.Prompt, o.Index)})
+			_ = encoder.Encode(wire.Chunk{Index: o.Index, Text: TokenText(req.Prompt, o.Index)})
 			if len(out) == 0 {
 				_ = control.Flush()
 			}
@@ -267,7 +268,7 @@
 	}
 }
 
-func (e *Engine) importKV(ctx context.Context, req DecodeRequest) error {
+func (e *Engine) importKV(ctx context.Context, req wire.DecodeRequest) error {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return errors.Wrap(err, "encode")
@@ -298,7 +299,7 @@
 }
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var req OrderRequest
+	var req wire.OrderRequest
 	if !readBody(w, r, &req) {
 		return
 	}
