--- a/agent/handler.go
+++ b/agent/handler.go
@@ -19,19 +19,19 @@
 func (h *handler) Serve(ctx context.Context, p *fleet.Peer, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case fleet.MethodReserve:
-		return handle(params, func(r fleet.Reservation) any { return h.agent.executor.Reserve(p, r) })
+		return fleet.Handle(params, func(r fleet.Reservation) any { return h.agent.executor.Reserve(p, r) })
 	case fleet.MethodPrefill:
-		return handle(params, func(w fleet.Work) any { return h.agent.executor.Prefill(ctx, p, w) })
+		return fleet.Handle(params, func(w fleet.Work) any { return h.agent.executor.Prefill(ctx, p, w) })
 	case fleet.MethodDecode:
-		return handle(params, func(w fleet.Work) any { return h.agent.executor.Decode(ctx, p, w) })
+		return fleet.Handle(params, func(w fleet.Work) any { return h.agent.executor.Decode(ctx, p, w) })
 	case fleet.MethodRelease:
-		return handle(params, func(a fleet.Attempt) any { h.agent.executor.Release(p, a); return nil })
+		return fleet.Handle(params, func(a fleet.Attempt) any { h.agent.executor.Release(p, a); return nil })
 	case fleet.MethodCall:
-		return handle(params, func(c fleet.Call) any { return h.agent.caller.Call(ctx, c) })
+		return fleet.Handle(params, func(c fleet.Call) any { return h.agent.caller.Call(ctx, c) })
 	case fleet.MethodMirror:
-		return handle(params, func(m fleet.Mirror) any { return h.agent.caller.Remember(m) })
+		return fleet.Handle(params, func(m fleet.Mirror) any { return h.agent.caller.Remember(m) })
 	case fleet.MethodOrder:
-		return handle(params, func(o fleet.Order) any { return h.agent.executor.Order(ctx, o) })
+		return fleet.Handle(params, func(o fleet.Order) any { return h.agent.executor.Order(ctx, o) })
 	default:
 		return nil, errors.Errorf("unknown method %q", method)
 	}
@@ -41,11 +41,3 @@
 func (h *handler) Gone(p *fleet.Peer) {
 	h.agent.executor.DropOwner(p)
 }
-
-func handle[T any](params json.RawMessage, serve func(T) any) (any, error) {
-	var v T
-	if err := json.Unmarshal(params, &v); err != nil {
-		return nil, errors.Wrap(err, "decode params")
-	}
-	return serve(v), nil
-}
--- /dev/null
+++ b/gateway/admitter/admitter.go
@@ -0,0 +1,276 @@
+// Package admitter charges requests to the limits of their client accounts, to the own share first and
+// then, one message each, to the shares of other gateways.
+package admitter
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/limiter"
+	"github.com/pistachiovane/pistachiovane/pkg/sharer"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+const (
+	// underway bounds the time that a debit's message takes; a slower answer is not used.
+	underway = 50 * time.Millisecond
+	// grantLimit bounds the debits that wait for settlement.
+	grantLimit = 100000
+	// grantLife bounds how long a debit can be settled.
+	grantLife = 30 * time.Minute
+)
+
+// Lender asks another gateway to charge its share.
+type Lender interface {
+	// Debit asks the named gateway; it fails when that can't be reached.
+	Debit(ctx context.Context, name string, d fleet.Debit) (fleet.DebitAnswer, error)
+	// Settle returns what a debit did not use.
+	Settle(name string, s fleet.Settle)
+}
+
+// Refusal tells why a request was not admitted.
+type Refusal struct {
+	Verdict limiter.Verdict
+	// Wait is when to try again.
+	Wait time.Duration
+}
+
+// Settlement returns the unused tokens of an admitted request; it may be called once.
+type Settlement func(unused float64)
+
+type grant struct {
+	ticket limiter.Ticket
+	at     time.Duration
+}
+
+// Admitter owns the limiter of one gateway.
+type Admitter struct {
+	self   string
+	start  time.Time
+	lender Lender
+
+	mu      sync.Mutex
+	sharer  *sharer.Sharer
+	limiter *limiter.Limiter
+	// grants are the debits charged for other gateways and not settled yet.
+	grants map[uint64]grant
+	next   uint64
+	// lucky maps an account to the gateway that granted a debit last.
+	lucky map[string]string
+	stats Stats
+}
+
+// Stats counts admissions.
+type Stats struct {
+	Own      uint64 `json:"own"`
+	Borrowed uint64 `json:"borrowed"`
+	Refused  uint64 `json:"refused"`
+	Lent     uint64 `json:"lent"`
+	Unsure   uint64 `json:"unsure"`
+}
+
+// New returns an admitter; the lender must be given with Lend before the first request.
+func New(self string, s *sharer.Sharer, l *limiter.Limiter) *Admitter {
+	return &Admitter{self: self, start: time.Now(), sharer: s, limiter: l, grants: make(map[uint64]grant), lucky: make(map[string]string)}
+}
+
+// Lend sets the way to other gateways; it must be called once, before the first request.
+func (a *Admitter) Lend(l Lender) {
+	a.lender = l
+}
+
+// Set takes in the plans of a catalog.
+func (a *Admitter) Set(c *catalog.Catalog) {
+	accounts := c.Accounts()
+	plans := make([]limiter.Plan, 0, len(accounts))
+	for _, account := range accounts {
+		plans = append(plans, limiter.Plan{Account: account.Name, Rate: account.Rate, Burst: account.Burst})
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.Set(plans, a.now())
+}
+
+// Admit charges tokens to the account. It returns a settlement, or why the request is refused.
+func (a *Admitter) Admit(ctx context.Context, account string, tokens float64) (Settlement, *Refusal) {
+	a.mu.Lock()
+	ticket, verdict, wait := a.limiter.Admit(account, tokens, a.now(), wall())
+	others := a.others(account)
+	slack := a.limiter.Slack(account, underway)
+	a.count(verdict)
+	a.mu.Unlock()
+	switch verdict {
+	case limiter.Granted:
+		return a.settlement(ticket), nil
+	case limiter.Short:
+		if s, ok := a.borrow(ctx, account, tokens, slack, others); ok {
+			return s, nil
+		}
+	}
+	a.mu.Lock()
+	a.stats.Refused++
+	a.mu.Unlock()
+	return nil, &Refusal{Verdict: verdict, Wait: wait}
+}
+
+// Charge serves the debit of another gateway.
+func (a *Admitter) Charge(d fleet.Debit) fleet.DebitAnswer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.forget()
+	if len(a.grants) >= grantLimit {
+		return fleet.DebitAnswer{}
+	}
+	ticket, verdict, _ := a.limiter.Admit(d.Account, d.Tokens, a.now(), wall())
+	if verdict != limiter.Granted {
+		return fleet.DebitAnswer{}
+	}
+	a.next++
+	a.grants[a.next] = grant{ticket: ticket, at: a.now()}
+	a.stats.Lent++
+	return fleet.DebitAnswer{Granted: true, Grant: a.next}
+}
+
+// Settled serves the settlement of a debit; one that was settled before is ignored.
+func (a *Admitter) Settled(s fleet.Settle) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	g, ok := a.grants[s.Grant]
+	if !ok {
+		return
+	}
+	delete(a.grants, s.Grant)
+	a.limiter.Settle(g.ticket, s.Unused, a.now())
+}
+
+// Observe takes in a version of the list of gateways, read from the platform since asked.
+func (a *Admitter) Observe(v sharer.View, asked time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sharer.Observe(v, a.now())
+	a.sharer.Heard(asked.Sub(a.start))
+	a.limiter.Resize(a.now())
+}
+
+// Tick notices pauses and finishes the growth of the share; it must run several times a second.
+func (a *Admitter) Tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sharer.Check(a.now(), wall())
+	a.sharer.Tick(a.now())
+	a.limiter.Resize(a.now())
+}
+
+// Question returns the sharer's question to other gateways.
+func (a *Admitter) Question() sharer.Message {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sharer.Question(a.now())
+}
+
+// Receive takes in a message of another sharer and returns the answer to a question.
+func (a *Admitter) Receive(m sharer.Message) (reply sharer.Message, answered bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	reply, answered = a.sharer.Receive(m, a.now())
+	a.limiter.Resize(a.now())
+	return reply, answered
+}
+
+// State is the dump of the admitter.
+type State struct {
+	View    uint64   `json:"view"`
+	Members []string `json:"members"`
+	Grown   bool     `json:"grown"`
+	Stats
+}
+
+// State returns the present state.
+func (a *Admitter) State() State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	v := a.sharer.View()
+	return State{View: v.Version, Members: v.Members, Grown: a.sharer.Grown(), Stats: a.stats}
+}
+
+// borrow asks other gateways in turn to charge the tokens. The debit is larger by what the lender's share
+// may refill while the message is under way, so that the charge counts from the answer's arrival.
+func (a *Admitter) borrow(ctx context.Context, account string, tokens, slack float64, others []string) (Settlement, bool) {
+	for _, name := range others {
+		asked := time.Now()
+		answer, err := a.lender.Debit(ctx, name, fleet.Debit{Account: account, Tokens: tokens + slack})
+		if err != nil || !answer.Granted {
+			continue
+		}
+		if time.Since(asked) > underway {
+			a.lender.Settle(name, fleet.Settle{Grant: answer.Grant, Unused: tokens})
+			continue
+		}
+		a.mu.Lock()
+		a.lucky[account] = name
+		a.stats.Borrowed++
+		a.mu.Unlock()
+		var once sync.Once
+		return func(unused float64) {
+			once.Do(func() { a.lender.Settle(name, fleet.Settle{Grant: answer.Grant, Unused: unused}) })
+		}, true
+	}
+	return nil, false
+}
+
+func (a *Admitter) settlement(t limiter.Ticket) Settlement {
+	var once sync.Once
+	return func(unused float64) {
+		once.Do(func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.limiter.Settle(t, unused, a.now())
+		})
+	}
+}
+
+// others lists the other gateways, the one that granted the account's last debit first.
+func (a *Admitter) others(account string) []string {
+	var out []string
+	for _, m := range a.sharer.View().Members {
+		if m != a.self {
+			out = append(out, m)
+		}
+	}
+	lucky := a.lucky[account]
+	sort.SliceStable(out, func(i, j int) bool { return out[i] == lucky && out[j] != lucky })
+	return out
+}
+
+func (a *Admitter) count(v limiter.Verdict) {
+	switch v {
+	case limiter.Granted:
+		a.stats.Own++
+	case limiter.Unsure:
+		a.stats.Unsure++
+	}
+}
+
+// forget drops the oldest debits that were never settled.
+func (a *Admitter) forget() {
+	if len(a.grants) < grantLimit/2 {
+		return
+	}
+	for id, g := range a.grants {
+		if a.now()-g.at > grantLife {
+			delete(a.grants, id)
+		}
+	}
+}
+
+func (a *Admitter) now() time.Duration {
+	return time.Since(a.start)
+}
+
+// wall returns the wall clock, which goes on while the process is suspended.
+func wall() time.Duration {
+	return time.Duration(time.Now().UnixNano())
+}
--- /dev/null
+++ b/gateway/configurer/configurer.go
@@ -0,0 +1,242 @@
+// Package configurer keeps the lists in force: it reads and watches them at the platform, and takes
+// newer ones from other gateways. A version never goes back.
+package configurer
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/finding"
+	"github.com/pistachiovane/pistachiovane/pkg/parser"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/platform"
+)
+
+// The names of the lists.
+const (
+	Plans = "plans"
+	Uses  = "uses"
+	VMs   = "vms"
+)
+
+const (
+	// watchWait is how long one watch call waits.
+	watchWait = 10 * time.Second
+	// retryWait is the pause after a failed read.
+	retryWait = 500 * time.Millisecond
+)
+
+// Accepted is called with each configuration that comes into force, in order.
+type Accepted func(*catalog.Catalog)
+
+// Listed is called with each VM list, and with when its read began; seen is false when it came from another gateway.
+type Listed func(v platform.VMs, asked time.Time, seen bool)
+
+// Configurer holds the lists of one gateway.
+type Configurer struct {
+	client   *platform.Client
+	poll     time.Duration
+	log      *log.Logger
+	accepted Accepted
+	listed   Listed
+	current  atomic.Pointer[catalog.Catalog]
+
+	mu sync.Mutex
+	// offered are the newest texts seen, valid or not; inForce those that are in force.
+	offered  map[string]fleet.List
+	inForce  map[string]fleet.List
+	findings finding.Findings
+	vms      platform.VMs
+	wake     chan struct{}
+}
+
+// New returns a configurer without lists.
+func New(c *platform.Client, poll time.Duration, logger *log.Logger, accepted Accepted, listed Listed) *Configurer {
+	return &Configurer{
+		client: c, poll: poll, log: logger, accepted: accepted, listed: listed,
+		offered: make(map[string]fleet.List), inForce: make(map[string]fleet.List),
+	}
+}
+
+// Serve reads and watches the platform until the context ends.
+func (c *Configurer) Serve(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { c.loopList(ctx, Plans) })
+	wg.Go(func() { c.loopList(ctx, Uses) })
+	wg.Go(func() { c.loopVMs(ctx) })
+	wg.Wait()
+	return ctx.Err()
+}
+
+// Current returns the configuration in force, or nil before the first one.
+func (c *Configurer) Current() *catalog.Catalog {
+	return c.current.Load()
+}
+
+// Versions returns the versions held of the three lists, for gossip.
+func (c *Configurer) Versions() (plans, uses, vms uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inForce[Plans].Version, c.inForce[Uses].Version, c.vms.Version
+}
+
+// Newer returns the lists in force that are newer than those of another gateway.
+func (c *Configurer) Newer(plans, uses, vms uint64) []fleet.List {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []fleet.List
+	if l := c.inForce[Plans]; l.Version > plans {
+		out = append(out, l)
+	}
+	if l := c.inForce[Uses]; l.Version > uses {
+		out = append(out, l)
+	}
+	if c.vms.Version > vms {
+		if text, err := json.Marshal(c.vms); err == nil {
+			out = append(out, fleet.List{Name: VMs, Version: c.vms.Version, Text: string(text)})
+		}
+	}
+	return out
+}
+
+// Offer takes in lists from another gateway.
+func (c *Configurer) Offer(lists []fleet.List) {
+	for _, l := range lists {
+		if l.Name != VMs {
+			c.offer(l)
+			continue
+		}
+		var v platform.VMs
+		if err := json.Unmarshal([]byte(l.Text), &v); err == nil {
+			c.offerVMs(v, time.Time{}, false)
+		}
+	}
+}
+
+// State is the dump of the configurer.
+type State struct {
+	Plans    uint64           `json:"plans"`
+	Uses     uint64           `json:"uses"`
+	VMs      uint64           `json:"vms"`
+	Findings finding.Findings `json:"findings,omitempty"`
+}
+
+// State returns the versions in force, and what is wrong with newer ones.
+func (c *Configurer) State() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return State{Plans: c.inForce[Plans].Version, Uses: c.inForce[Uses].Version, VMs: c.vms.Version, Findings: c.findings}
+}
+
+// Endpoints returns the VM list as it was read last.
+func (c *Configurer) Endpoints() []platform.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.vms.VMs)
+}
+
+func (c *Configurer) loopList(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		after := c.offered[name].Version
+		c.mu.Unlock()
+		v, err := c.client.Value(ctx, name, after, watchWait)
+		if err != nil {
+			sleep(ctx, retryWait)
+			continue
+		}
+		if v.Version <= after {
+			sleep(ctx, retryWait/10)
+			continue
+		}
+		c.offer(fleet.List{Name: name, Version: v.Version, Text: v.Text})
+	}
+}
+
+func (c *Configurer) loopVMs(ctx context.Context) {
+	for ctx.Err() == nil {
+		asked := time.Now()
+		if v, err := c.client.VMs(ctx); err == nil {
+			c.offerVMs(v, asked, true)
+		}
+		sleep(ctx, c.poll)
+	}
+}
+
+// offer takes in a version of a list. Both newest lists are tried together; where they do not fit, the newer of
+// either with the one in force.
+func (c *Configurer) offer(l fleet.List) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.Version <= c.offered[l.Name].Version {
+		return
+	}
+	if v, ok := parser.Version(parser.Text{Name: l.Name, Body: []byte(l.Text)}); ok && v != l.Version {
+		l.Version = v
+		if v <= c.offered[l.Name].Version {
+			return
+		}
+	}
+	c.offered[l.Name] = l
+	pairs := [][2]fleet.List{
+		{c.offered[Plans], c.offered[Uses]},
+		{c.inForce[Plans], c.offered[Uses]},
+		{c.offered[Plans], c.inForce[Uses]},
+	}
+	for i, pair := range pairs {
+		parsed, findings := parser.Parse(text(pair[0]), text(pair[1]))
+		if i == 0 {
+			c.findings = findings
+		}
+		if len(findings) == 0 && c.newer(pair) {
+			c.accept(pair, parsed)
+			return
+		}
+	}
+	if c.offered[Plans].Version > 0 && c.offered[Uses].Version > 0 {
+		c.log.Warn().Str("list", l.Name).Uint64("version", l.Version).Int("findings", len(c.findings)).Msg("config: list refused")
+	}
+}
+
+func (c *Configurer) newer(pair [2]fleet.List) bool {
+	return pair[0].Version >= c.inForce[Plans].Version && pair[1].Version >= c.inForce[Uses].Version &&
+		pair[0].Version+pair[1].Version > c.inForce[Plans].Version+c.inForce[Uses].Version
+}
+
+func (c *Configurer) accept(pair [2]fleet.List, parsed *catalog.Catalog) {
+	c.inForce[Plans], c.inForce[Uses] = pair[0], pair[1]
+	c.current.Store(parsed)
+	c.accepted(parsed)
+	c.log.Info().Uint64("plans", pair[0].Version).Uint64("uses", pair[1].Version).Msg("config: in force")
+}
+
+func (c *Configurer) offerVMs(v platform.VMs, asked time.Time, seen bool) {
+	c.mu.Lock()
+	newer := v.Version > c.vms.Version
+	if newer {
+		c.vms = v
+	}
+	present := c.vms
+	c.mu.Unlock()
+	if newer || (seen && v.Version == present.Version) {
+		c.listed(present, asked, seen)
+	}
+}
+
+func text(l fleet.List) parser.Text {
+	return parser.Text{Name: l.Name, Body: []byte(l.Text)}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,264 @@
+// Package gateway is the process on an entry VM: it answers callers from the engines behind the agents.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiovane/pistachiovane/gateway/admitter"
+	"github.com/pistachiovane/pistachiovane/gateway/configurer"
+	"github.com/pistachiovane/pistachiovane/gateway/driver"
+	"github.com/pistachiovane/pistachiovane/gateway/gossiper"
+	"github.com/pistachiovane/pistachiovane/gateway/linker"
+	"github.com/pistachiovane/pistachiovane/gateway/requester"
+	"github.com/pistachiovane/pistachiovane/gateway/server"
+	"github.com/pistachiovane/pistachiovane/pkg/budgeter"
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+	"github.com/pistachiovane/pistachiovane/pkg/dispatcher"
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+	"github.com/pistachiovane/pistachiovane/pkg/limiter"
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
+	"github.com/pistachiovane/pistachiovane/pkg/router"
+	"github.com/pistachiovane/pistachiovane/pkg/settings"
+	"github.com/pistachiovane/pistachiovane/pkg/sharer"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/platform"
+)
+
+const (
+	// poisonWindow is how long a crash is blamed on a request.
+	poisonWindow = 2 * time.Minute
+	poisonLimit  = 10000
+	// retryRatio and retrySaved bound retries to a tenth of the requests and a burst.
+	retryRatio = 0.1
+	retrySaved = 100
+	// freshPieces is the engine memory supposed of an endpoint that has not reported yet.
+	freshPieces = 1 << 20
+	// shareLag bounds the time from a list without a gateway until that VM has stopped.
+	shareLag = 5 * time.Second
+	// sharePause is the longest pause that a gateway may not notice.
+	sharePause = 2 * time.Second
+	// drainPoll is how often a draining gateway looks whether its work has ended.
+	drainPoll = 20 * time.Millisecond
+	// stopTimeout bounds the end of the caller's port.
+	stopTimeout = time.Second
+)
+
+// Listeners are the sockets of a gateway.
+type Listeners struct {
+	Callers net.Listener
+	Fleet   net.Listener
+}
+
+// Gateway is the root supervisor of the process.
+type Gateway struct {
+	settings   settings.Settings
+	log        *log.Logger
+	supervisor *suture.Supervisor
+	driver     *driver.Driver
+	linker     *linker.Linker
+	requester  *requester.Requester
+	admitter   *admitter.Admitter
+	configurer *configurer.Configurer
+	gossiper   *gossiper.Gossiper
+	server     *server.Server
+	http       *http.Server
+	transport  *http.Transport
+	listeners  Listeners
+	endpoints  atomic.Int64
+	draining   atomic.Bool
+}
+
+// New returns a gateway on the listeners. It fails when its parts can't be set up.
+func New(s settings.Settings, l Listeners, logger *log.Logger) (*Gateway, error) {
+	credentials, err := credential.New(s.Fleet.Secret, s.Name, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	policy, ok := router.PolicyByName(s.Route.Policy)
+	if !ok {
+		return nil, errors.Errorf("routing policy %q is not known", s.Route.Policy)
+	}
+	g := &Gateway{
+		settings: s, log: logger, listeners: l,
+		supervisor: suture.New("gateway", suture.Spec{PassThroughPanics: true}),
+		transport:  &http.Transport{MaxIdleConnsPerHost: 4},
+	}
+	incarnation := uuid.NewString()
+	g.newDriver(policy)
+	g.linker = linker.New(incarnation, credentials, g.driver.Tokens)
+	g.driver.Link(g.linker)
+	g.requester = requester.New(g.linker)
+	self := sharer.Member{Name: s.Name, Incarnation: rand.Uint64()}
+	shares := sharer.New(self, sharer.Options{Lag: shareLag, Pause: sharePause})
+	g.admitter = admitter.New(s.Name, shares, limiter.New(shares, limiter.Equal))
+	client := platform.New(s.Platform.URL, &http.Client{Transport: g.transport})
+	g.configurer = configurer.New(client, s.Platform.Poll, logger, g.accepted, g.listed)
+	g.gossiper = gossiper.New(s.Name, incarnation, credentials, g.admitter, g.configurer, g.driver)
+	g.admitter.Lend(g.gossiper)
+	g.server, err = server.New(server.Options{Body: s.Callers.Body, First: s.Route.First}, g.configurer.Current, g.admitter, g.driver, g.requester)
+	if err != nil {
+		return nil, err
+	}
+	g.http = &http.Server{Handler: g.server, ReadTimeout: s.Callers.Slow, MaxHeaderBytes: s.Callers.Header}
+	g.supervise(credentials)
+	return g, nil
+}
+
+func (g *Gateway) newDriver(policy router.Policy) {
+	options := dispatcher.DefaultOptions()
+	options.PieceTokens = g.settings.Route.Piece
+	options.PrefillRate = g.settings.Route.Prefill
+	options.Queue = g.settings.Route.Queue
+	seed := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	routes := router.New(policy, g.settings.Domain, seed)
+	poison := quarantiner.New(poisonWindow, poisonLimit)
+	d := dispatcher.New(options, routes, poison, budgeter.New(retryRatio, retrySaved))
+	g.driver = driver.New(d, routes, poison, freshPieces)
+}
+
+func (g *Gateway) supervise(c *credential.Credential) {
+	g.supervisor.Add(g.driver)
+	g.supervisor.Add(g.configurer)
+	g.supervisor.Add(g.gossiper)
+	g.supervisor.Add(fleet.NewServer(g.listeners.Fleet, c, &handler{gossiper: g.gossiper}))
+	g.supervisor.Add(&callers{server: g.http, listener: g.listeners.Callers})
+}
+
+// Serve runs the gateway until the context ends.
+func (g *Gateway) Serve(ctx context.Context) error {
+	g.log.Info().Str("name", g.settings.Name).Str("callers", g.listeners.Callers.Addr().String()).Msg("gateway: started")
+	err := g.supervisor.Serve(ctx)
+	g.linker.Close()
+	g.driver.Wait()
+	g.transport.CloseIdleConnections()
+	return err
+}
+
+// Drain refuses new requests and returns when all in progress have ended or the context ends.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.draining.Store(true)
+	g.server.Drain()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for g.server.Busy() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Ready tells whether the gateway takes requests: a configuration is in force, endpoints are known, the other
+// gateways were asked for newer lists, and the share of limits is held.
+func (g *Gateway) Ready() bool {
+	select {
+	case <-g.gossiper.Asked():
+	default:
+		return false
+	}
+	return !g.draining.Load() && g.configurer.Current() != nil && g.endpoints.Load() > 0 && g.admitter.State().Grown
+}
+
+// State is the dump of a gateway.
+type State struct {
+	Name        string                 `json:"name"`
+	Ready       bool                   `json:"ready"`
+	Open        int                    `json:"open"`
+	Interactive int                    `json:"interactive"`
+	Drafts      int                    `json:"drafts"`
+	Answered    uint64                 `json:"answered"`
+	Refused     uint64                 `json:"refused"`
+	Tokens      uint64                 `json:"tokens"`
+	Config      configurer.State       `json:"config"`
+	Limits      admitter.State         `json:"limits"`
+	Endpoints   []driver.EndpointState `json:"endpoints"`
+}
+
+// State returns the present state; it holds no secrets.
+func (g *Gateway) State() any {
+	interactive, drafts := g.driver.Waiting()
+	return State{
+		Name: g.settings.Name, Ready: g.Ready(), Open: g.driver.Open(), Interactive: interactive, Drafts: drafts,
+		Answered: g.server.Stats.Answered.Load(), Refused: g.server.Stats.Refused.Load(), Tokens: g.server.Stats.Tokens.Load(),
+		Config: g.configurer.State(), Limits: g.admitter.State(), Endpoints: g.driver.Endpoints(),
+	}
+}
+
+// accepted brings a configuration into force in every part.
+func (g *Gateway) accepted(c *catalog.Catalog) {
+	g.admitter.Set(c)
+	g.driver.Revoke(c)
+}
+
+// listed brings a VM list into force in every part.
+func (g *Gateway) listed(v platform.VMs, asked time.Time, seen bool) {
+	view := sharer.View{Version: v.Version}
+	var endpoints []endpoint.Endpoint
+	for _, vm := range v.VMs {
+		if e, ok := vm.Endpoint(); ok {
+			endpoints = append(endpoints, e)
+		}
+		if vm.Kind == platform.KindGateway {
+			view.Members = append(view.Members, vm.ID)
+		}
+	}
+	if !seen {
+		asked = time.Time{}
+	}
+	view.Members = sortedUnique(view.Members)
+	g.gossiper.Update(v.VMs)
+	g.driver.Update(endpoints)
+	g.requester.Update(endpoints)
+	g.admitter.Observe(view, asked)
+	g.endpoints.Store(int64(len(endpoints)))
+}
+
+// handler serves the fleet protocol for a gateway.
+type handler struct {
+	gossiper *gossiper.Gossiper
+}
+
+// Serve handles one request of another gateway.
+func (h *handler) Serve(_ context.Context, p *fleet.Peer, method string, params json.RawMessage) (any, error) {
+	return h.gossiper.Handle(p, method, params)
+}
+
+// Gone does nothing: other gateways own nothing here.
+func (h *handler) Gone(*fleet.Peer) {}
+
+// callers serves the caller's port.
+type callers struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// Serve answers callers until the context ends.
+func (c *callers) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		if c.server.Shutdown(ctx) != nil {
+			_ = c.server.Close()
+		}
+	})
+	defer stop()
+	err := c.server.Serve(c.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return errors.Wrap(err, "serve callers")
+}
--- /dev/null
+++ b/gateway/gossiper/gossiper.go
@@ -0,0 +1,218 @@
+// Package gossiper exchanges lists, shares and crash records with the other gateways.
+package gossiper
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/gateway/admitter"
+	"github.com/pistachiovane/pistachiovane/gateway/configurer"
+	"github.com/pistachiovane/pistachiovane/gateway/driver"
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/platform"
+)
+
+const (
+	// every is the time between two rounds.
+	every = 250 * time.Millisecond
+	// callTimeout bounds one exchange.
+	callTimeout = time.Second
+	// debitTimeout bounds one debit.
+	debitTimeout = 100 * time.Millisecond
+)
+
+// Gossiper talks to the other gateways.
+type Gossiper struct {
+	self        string
+	incarnation string
+	credential  *credential.Credential
+	admitter    *admitter.Admitter
+	configurer  *configurer.Configurer
+	driver      *driver.Driver
+
+	mu    sync.Mutex
+	peers map[string]peer
+	// asked is closed once every listed gateway was asked after the first VM list.
+	asked  chan struct{}
+	rounds int
+	wg     sync.WaitGroup
+}
+
+type peer struct {
+	address string
+	client  *fleet.Client
+}
+
+// New returns a gossiper that knows no other gateway.
+func New(self, incarnation string, c *credential.Credential, a *admitter.Admitter, conf *configurer.Configurer, d *driver.Driver) *Gossiper {
+	return &Gossiper{
+		self: self, incarnation: incarnation, credential: c, admitter: a, configurer: conf, driver: d,
+		peers: make(map[string]peer), asked: make(chan struct{}),
+	}
+}
+
+// Update sets the gateways to talk to.
+func (g *Gossiper) Update(vms []platform.VM) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	keep := make(map[string]bool)
+	for _, v := range vms {
+		if v.Kind != platform.KindGateway || v.ID == g.self {
+			continue
+		}
+		keep[v.ID] = true
+		if old, ok := g.peers[v.ID]; ok {
+			if old.address == v.Address {
+				continue
+			}
+			go old.client.Close()
+		}
+		g.peers[v.ID] = peer{address: v.Address, client: fleet.NewClient(v.Address, g.incarnation, g.credential, nil, nil)}
+	}
+	for id, p := range g.peers {
+		if !keep[id] {
+			delete(g.peers, id)
+			go p.client.Close()
+		}
+	}
+}
+
+// Asked is closed once every listed gateway was asked for its lists.
+func (g *Gossiper) Asked() <-chan struct{} {
+	return g.asked
+}
+
+// Serve exchanges state with every other gateway until the context ends.
+func (g *Gossiper) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		g.round(ctx)
+		select {
+		case <-ctx.Done():
+			g.wg.Wait()
+			g.close()
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Handle serves the messages of other gateways. It fails on params that do not decode and on unknown methods.
+func (g *Gossiper) Handle(p *fleet.Peer, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case fleet.MethodGossip:
+		return fleet.Handle(params, func(m fleet.Gossip) any { return g.answer(p, m) })
+	case fleet.MethodDebit:
+		return fleet.Handle(params, func(d fleet.Debit) any { return g.admitter.Charge(d) })
+	case fleet.MethodSettle:
+		return fleet.Handle(params, func(s fleet.Settle) any { g.admitter.Settled(s); return nil })
+	default:
+		return nil, errors.Errorf("unknown method %q", method)
+	}
+}
+
+// Debit asks another gateway to charge its share. It fails when that can't be reached in time.
+func (g *Gossiper) Debit(ctx context.Context, name string, d fleet.Debit) (fleet.DebitAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, debitTimeout)
+	defer cancel()
+	var a fleet.DebitAnswer
+	p, ok := g.peer(name)
+	if !ok {
+		return a, errors.Wrapf(fleet.ErrNotSent, "gateway %s is not listed", name)
+	}
+	err := p.client.Call(ctx, fleet.MethodDebit, d, &a)
+	return a, err
+}
+
+// Settle returns the unused part of a debit; what can't be delivered is lost to the account, never doubled.
+func (g *Gossiper) Settle(name string, s fleet.Settle) {
+	if p, ok := g.peer(name); ok {
+		_ = p.client.Notify(context.Background(), fleet.MethodSettle, s)
+	}
+}
+
+func (g *Gossiper) peer(name string) (peer, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[name]
+	return p, ok
+}
+
+// round asks every other gateway at once, none twice at a time.
+func (g *Gossiper) round(ctx context.Context) {
+	g.admitter.Tick()
+	g.mu.Lock()
+	peers := make(map[string]peer, len(g.peers))
+	for name, p := range g.peers {
+		peers[name] = p
+	}
+	g.mu.Unlock()
+	listed := len(g.admitter.State().Members) > 0
+	var round sync.WaitGroup
+	for name, p := range peers {
+		round.Go(func() { g.exchange(ctx, name, p) })
+	}
+	g.wg.Go(func() {
+		round.Wait()
+		if listed {
+			g.finishRound()
+		}
+	})
+}
+
+func (g *Gossiper) finishRound() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rounds++
+	if g.rounds == 1 {
+		close(g.asked)
+	}
+}
+
+func (g *Gossiper) exchange(ctx context.Context, name string, p peer) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	question := g.message()
+	question.Share = fleet.ShareFrom(g.admitter.Question())
+	var answer fleet.Gossip
+	if err := p.client.Call(ctx, fleet.MethodGossip, question, &answer); err != nil {
+		return
+	}
+	g.take(answer)
+	g.admitter.Receive(answer.Share.Message(name))
+}
+
+func (g *Gossiper) answer(p *fleet.Peer, m fleet.Gossip) fleet.Gossip {
+	g.take(m)
+	reply := g.message()
+	reply.Lists = g.configurer.Newer(m.Plans, m.Uses, m.VMs)
+	if share, ok := g.admitter.Receive(m.Share.Message(p.Name)); ok {
+		reply.Share = fleet.ShareFrom(share)
+	}
+	return reply
+}
+
+func (g *Gossiper) take(m fleet.Gossip) {
+	g.configurer.Offer(m.Lists)
+	g.driver.Merge(fleet.LocalBlames(m.Blames))
+}
+
+func (g *Gossiper) message() fleet.Gossip {
+	m := fleet.Gossip{Blames: fleet.BlamesFrom(g.driver.Blames())}
+	m.Plans, m.Uses, m.VMs = g.configurer.Versions()
+	return m
+}
+
+func (g *Gossiper) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		p.client.Close()
+	}
+}
--- /dev/null
+++ b/gateway/server/server.go
@@ -0,0 +1,245 @@
+// Package server is the caller's side of a gateway: it authenticates, admits against the plan and
+// answers.
+package server
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	ht "github.com/ogen-go/ogen/http"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/api/caller/callerapi"
+	"github.com/pistachiovane/pistachiovane/gateway/admitter"
+	"github.com/pistachiovane/pistachiovane/gateway/driver"
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/limiter"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+// writeTimeout bounds one write to a caller.
+const writeTimeout = 30 * time.Second
+
+// Plain calls plain services.
+type Plain interface {
+	// Call runs a call on one of the service's endpoints and tells truthfully whether it ran.
+	Call(ctx context.Context, c fleet.Call) fleet.CallAnswer
+	// Knows tells whether any endpoint offers the service.
+	Knows(service string) bool
+}
+
+// Options bound what callers may send.
+type Options struct {
+	// Body is in bytes.
+	Body int64
+	// First is the first-token deadline of interactive requests.
+	First time.Duration
+}
+
+// Stats counts answers.
+type Stats struct {
+	Answered atomic.Uint64
+	Refused  atomic.Uint64
+	Tokens   atomic.Uint64
+}
+
+// Server serves callers.
+type Server struct {
+	options  Options
+	current  func() *catalog.Catalog
+	admitter *admitter.Admitter
+	driver   *driver.Driver
+	plain    Plain
+	draining atomic.Bool
+	busy     atomic.Int64
+	handler  http.Handler
+	Stats    Stats
+}
+
+// New returns a server; current returns the configuration in force, or nil. It fails when the API can't be set up.
+func New(o Options, current func() *catalog.Catalog, a *admitter.Admitter, d *driver.Driver, p Plain) (*Server, error) {
+	s := &Server{options: o, current: current, admitter: a, driver: d, plain: p}
+	api, err := callerapi.NewServer(s, s, callerapi.WithErrorHandler(s.handleError),
+		callerapi.WithNotFound(func(w http.ResponseWriter, r *http.Request) {
+			s.write(w, r, invalid(http.StatusNotFound, "path", "there is no such path"))
+		}),
+		callerapi.WithMethodNotAllowed(func(w http.ResponseWriter, r *http.Request, allowed string) {
+			w.Header().Set("Allow", allowed)
+			s.write(w, r, invalid(http.StatusMethodNotAllowed, "method", "the method is not allowed here"))
+		}))
+	if err != nil {
+		return nil, errors.Wrap(err, "set up API")
+	}
+	s.handler = api
+	return s, nil
+}
+
+// ServeHTTP serves one request of a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.busy.Add(1)
+	defer s.busy.Add(-1)
+	r.Body = http.MaxBytesReader(w, r.Body, s.options.Body)
+	s.handler.ServeHTTP(&flusher{ResponseWriter: w, control: http.NewResponseController(w)}, r)
+}
+
+// Drain refuses new requests from now on.
+func (s *Server) Drain() {
+	s.draining.Store(true)
+}
+
+// Busy returns how many requests are being served.
+func (s *Server) Busy() int {
+	return int(s.busy.Load())
+}
+
+// caller is who a request came from.
+type caller struct {
+	account *catalog.Account
+	key     catalog.Digest
+	catalog *catalog.Catalog
+}
+
+type callerKey struct{}
+
+// HandleBearer finds the client account of a key. It fails when the key is not in force.
+func (s *Server) HandleBearer(ctx context.Context, _ callerapi.OperationName, t callerapi.Bearer) (context.Context, error) {
+	c := s.current()
+	if c == nil {
+		return ctx, s.starting()
+	}
+	digest := catalog.DigestOf(t.Token)
+	account, ok := c.ByKey(digest)
+	if !ok {
+		return ctx, unauthorized()
+	}
+	return context.WithValue(ctx, callerKey{}, caller{account: account, key: digest, catalog: c}), nil
+}
+
+// NewError converts an error to its response.
+func (s *Server) NewError(_ context.Context, err error) *callerapi.RefusalStatusCodeWithHeaders {
+	s.Stats.Refused.Add(1)
+	return refusalOf(err).wire()
+}
+
+func (s *Server) starting() *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Type: typeOverload, Code: "starting", Message: "no configuration is in force yet", Run: callerapi.RunNotRun, RetryAfter: time.Second}
+}
+
+// enter finds the caller and the route of a request, and charges its cost.
+func (s *Server) enter(ctx context.Context, kind catalog.RouteKind, target string, tokens func(*catalog.Route) float64) (caller, *catalog.Route, admitter.Settlement, error) {
+	c, ok := ctx.Value(callerKey{}).(caller)
+	if !ok {
+		return c, nil, nil, unauthorized()
+	}
+	if s.draining.Load() {
+		return c, nil, nil, &Refusal{Status: http.StatusServiceUnavailable, Type: typeOverload, Code: "draining", Message: "this gateway is leaving", Run: callerapi.RunNotRun, RetryAfter: time.Second}
+	}
+	route, ok := c.catalog.Allowed(c.account.Plan, kind, target)
+	if !ok {
+		return c, nil, nil, denied(string(kind) + " " + target)
+	}
+	settle, refusal := s.admitter.Admit(ctx, c.account.Name, tokens(route))
+	if refusal != nil {
+		return c, nil, nil, limited(refusal)
+	}
+	return c, route, settle, nil
+}
+
+func limited(r *admitter.Refusal) *Refusal {
+	out := &Refusal{Status: http.StatusTooManyRequests, Type: typeLimit, Run: callerapi.RunNotRun}
+	switch r.Verdict {
+	case limiter.Over:
+		out.Status, out.Type, out.Code = http.StatusBadRequest, typeInvalid, "size"
+		out.Message = "the request alone is larger than the plan's burst"
+	case limiter.Unsure:
+		out.Status, out.Type, out.Code = http.StatusServiceUnavailable, typeOverload, "paused"
+		out.Message = "this gateway was suspended and makes sure of its place first"
+		out.RetryAfter = time.Second
+	case limiter.Unknown:
+		out.Status, out.Code, out.Message = http.StatusUnauthorized, "key", "the account is not in force"
+		out.Type = typeAuth
+	default:
+		out.Code, out.Message = "rate", "the plan's rate and burst are used up"
+		out.RetryAfter = max(r.Wait, time.Second)
+	}
+	return out
+}
+
+// refusalOf finds the refusal in an error of a handler, of the security check or of decoding.
+func refusalOf(err error) *Refusal {
+	var refusal *Refusal
+	var tooLarge *http.MaxBytesError
+	var security *ogenerrors.SecurityError
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.As(err, &tooLarge):
+		return invalid(http.StatusRequestEntityTooLarge, "size", "the body is too large")
+	case errors.As(err, &security):
+		return unauthorized()
+	case errors.Is(err, ht.ErrNotImplemented):
+		return invalid(http.StatusNotImplemented, "path", "not offered")
+	}
+	var decodeBody *ogenerrors.DecodeRequestError
+	var decodeParams *ogenerrors.DecodeParamsError
+	if errors.As(err, &decodeBody) || errors.As(err, &decodeParams) {
+		return invalid(http.StatusBadRequest, "request", shorten(err.Error()))
+	}
+	return &Refusal{Status: http.StatusInternalServerError, Type: typeFailed, Code: "internal", Message: "internal error", Run: callerapi.RunUnknown}
+}
+
+// shorten bounds a message that may quote what the caller sent.
+func shorten(message string) string {
+	const most = 300
+	message = strings.ToValidUTF8(message, "?")
+	if len(message) > most {
+		return message[:most] + "…"
+	}
+	return message
+}
+
+func (s *Server) handleError(_ context.Context, w http.ResponseWriter, r *http.Request, err error) {
+	s.write(w, r, refusalOf(err))
+}
+
+// write answers with a refusal outside of the generated code.
+func (s *Server) write(w http.ResponseWriter, _ *http.Request, refusal *Refusal) {
+	s.Stats.Refused.Add(1)
+	out := refusal.wire()
+	if v, ok := out.RetryAfter.Get(); ok {
+		w.Header().Set("Retry-After", itoa(v))
+	}
+	w.Header().Set("X-Run", string(out.XRun))
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(out.StatusCode)
+	body, err := out.Response.MarshalJSON()
+	if err != nil {
+		return
+	}
+	_, _ = w.Write(body)
+}
+
+// flusher passes each write on at once, so that tokens reach the caller as they come.
+type flusher struct {
+	http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Write writes and flushes; a caller that takes nothing for writeTimeout is given up.
+func (f *flusher) Write(p []byte) (int, error) {
+	_ = f.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n, err := f.ResponseWriter.Write(p)
+	if err == nil {
+		_ = f.control.Flush()
+	}
+	return n, err
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (f *flusher) Unwrap() http.ResponseWriter {
+	return f.ResponseWriter
+}
--- /dev/null
+++ b/gateway/server/services.go
@@ -0,0 +1,101 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/pistachiovane/pistachiovane/api/caller/callerapi"
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/tokenizer"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+// CallService runs a call of a plain service, at most once. It fails with a Refusal.
+func (s *Server) CallService(ctx context.Context, req *callerapi.CallRequest, params callerapi.CallServiceParams) (*callerapi.CallAnswer, error) {
+	body, err := req.MarshalJSON()
+	if err != nil {
+		return nil, invalid(http.StatusBadRequest, "request", "the body can't be encoded")
+	}
+	call := fleet.Call{Service: params.Service, Name: params.Call, Key: params.IdempotencyKey.Or(""), Body: body}
+	return s.call(ctx, call)
+}
+
+// ReadService reads from a plain service. It fails with a Refusal.
+func (s *Server) ReadService(ctx context.Context, params callerapi.ReadServiceParams) (*callerapi.CallAnswer, error) {
+	return s.call(ctx, fleet.Call{Service: params.Service, Name: params.Call, Read: true})
+}
+
+// ReadOpen reads from a route that is open to all. It fails with a Refusal.
+func (s *Server) ReadOpen(ctx context.Context, params callerapi.ReadOpenParams) (*callerapi.CallAnswer, error) {
+	current := s.current()
+	if current == nil {
+		return nil, s.starting()
+	}
+	if _, ok := current.Open(params.Service); !ok {
+		return nil, invalid(http.StatusNotFound, "route", "there is no such open route")
+	}
+	return s.finish(ctx, fleet.Call{Service: params.Service, Name: params.Call, Read: true}, func(float64) {}, 0)
+}
+
+func (s *Server) call(ctx context.Context, call fleet.Call) (*callerapi.CallAnswer, error) {
+	cost := 0.0
+	c, _, settle, err := s.enter(ctx, catalog.RouteService, call.Service, func(r *catalog.Route) float64 { cost = r.Cost; return r.Cost })
+	if err != nil {
+		return nil, err
+	}
+	call.Account = c.account.Name
+	call.Digest = tokenizer.Digest(call.Service+"/"+call.Name, string(call.Body))
+	return s.finish(ctx, call, settle, cost)
+}
+
+func (s *Server) finish(ctx context.Context, call fleet.Call, settle func(float64), cost float64) (*callerapi.CallAnswer, error) {
+	if !s.plain.Knows(call.Service) {
+		settle(cost)
+		return nil, invalid(http.StatusNotFound, "service", "no endpoint offers the service")
+	}
+	a := s.plain.Call(ctx, call)
+	if a.Outcome == fleet.CallDone {
+		s.Stats.Answered.Add(1)
+		answer := &callerapi.CallAnswer{Service: call.Service, Call: call.Name, Result: a.Result}
+		if a.Replayed {
+			answer.Replayed = callerapi.NewOptBool(true)
+			settle(cost)
+		}
+		return answer, nil
+	}
+	if a.Outcome == fleet.CallNotRun {
+		settle(cost)
+	}
+	return nil, callFailure(a.Outcome)
+}
+
+func callFailure(o fleet.CallOutcome) *Refusal {
+	r := &Refusal{Status: http.StatusServiceUnavailable, Type: typeFailed, Run: callerapi.RunUnknown}
+	switch o {
+	case fleet.CallNotRun:
+		r.Type, r.Code, r.Run, r.RetryAfter = typeOverload, "unreachable", callerapi.RunNotRun, time.Second
+		r.Message = "no endpoint could be reached; nothing ran"
+	case fleet.CallRunning:
+		r.Status, r.Code, r.RetryAfter = http.StatusConflict, "running", time.Second
+		r.Message = "a call with this key is running"
+	case fleet.CallConflict:
+		r.Status, r.Type, r.Code, r.Run = http.StatusUnprocessableEntity, typeInvalid, "conflict", callerapi.RunNotRun
+		r.Message = "the key was used with another body"
+	default:
+		r.Status, r.Code = http.StatusBadGateway, "outcome"
+		r.Message = "the outcome is unknown; the call may have run"
+	}
+	return r
+}
+
+func requestID() string {
+	return uuid.NewString()
+}
+
+func itoa(v int64) string {
+	return strconv.FormatInt(v, 10)
+}
--- /dev/null
+++ b/pkg/bucket/bucket.go
@@ -0,0 +1,138 @@
+// Package bucket is a token bucket whose charges can be partly returned without ever breaking the
+// bound: the charges less the returns of any window w are at most burst + rate x w.
+//
+// A return is worth what the level would be now had the charge been smaller from the start. Where the
+// bucket would have been full in between, the returned tokens would have been lost, so they are not
+// credited. The bucket keeps the highest levels since its latest charges to know this.
+package bucket
+
+import "time"
+
+// peakLimit bounds the remembered levels; merged ones only make returns smaller.
+const peakLimit = 8
+
+// Charge names a charge, for its return.
+type Charge uint64
+
+// Bucket is a token bucket. It is not safe for concurrent use.
+type Bucket struct {
+	// rate is in tokens a second, burst in tokens; neither is negative.
+	rate  float64
+	burst float64
+	// level is never above burst.
+	level float64
+	last  time.Duration
+	// sequence rises with each charge and each resize.
+	sequence Charge
+	// voidTo is the latest charge that can't be returned any more.
+	voidTo Charge
+	// peaks holds levels before charges, falling, each the highest since its charge.
+	peaks [peakLimit]peak
+	count int
+}
+
+type peak struct {
+	sequence Charge
+	level    float64
+}
+
+// New returns an empty bucket.
+func New(rate, burst float64, now time.Duration) Bucket {
+	return Bucket{rate: rate, burst: burst, last: now}
+}
+
+// NewFull returns a full bucket.
+func NewFull(rate, burst float64, now time.Duration) Bucket {
+	return Bucket{rate: rate, burst: burst, level: burst, last: now}
+}
+
+// Level returns the tokens available now.
+func (b *Bucket) Level(now time.Duration) float64 {
+	b.refill(now)
+	return b.level
+}
+
+// Burst returns the size of the bucket.
+func (b *Bucket) Burst() float64 {
+	return b.burst
+}
+
+// Wait returns how long it takes until that many tokens are available; ok is false when they never are.
+func (b *Bucket) Wait(tokens float64, now time.Duration) (wait time.Duration, ok bool) {
+	b.refill(now)
+	if tokens <= b.level {
+		return 0, true
+	}
+	if tokens > b.burst || b.rate <= 0 {
+		return 0, false
+	}
+	return time.Duration((tokens - b.level) / b.rate * float64(time.Second)), true
+}
+
+// Take charges tokens; ok is false when there are not enough, and nothing is charged.
+func (b *Bucket) Take(tokens float64, now time.Duration) (c Charge, ok bool) {
+	b.refill(now)
+	if tokens > b.level {
+		return 0, false
+	}
+	b.sequence++
+	b.push(peak{sequence: b.sequence - 1, level: b.level})
+	b.level -= tokens
+	return b.sequence, true
+}
+
+// Return gives back the unused part of a charge and returns how much was credited.
+func (b *Bucket) Return(c Charge, unused float64, now time.Duration) float64 {
+	b.refill(now)
+	if c <= b.voidTo || unused <= 0 {
+		return 0
+	}
+	highest := b.level
+	for i := range b.count {
+		if b.peaks[i].sequence >= c {
+			highest = max(highest, b.peaks[i].level)
+		}
+	}
+	credit := min(unused, b.burst-highest)
+	if credit <= 0 {
+		return 0
+	}
+	b.level += credit
+	for i := range b.count {
+		if b.peaks[i].sequence >= c {
+			b.peaks[i].level += credit
+		}
+	}
+	return credit
+}
+
+// Resize changes rate and burst. The level never rises; earlier charges can't be returned any more.
+func (b *Bucket) Resize(rate, burst float64, now time.Duration) {
+	b.refill(now)
+	b.rate, b.burst = rate, burst
+	b.level = min(b.level, burst)
+	b.voidTo = b.sequence
+	b.count = 0
+}
+
+func (b *Bucket) refill(now time.Duration) {
+	if now <= b.last {
+		return
+	}
+	b.level = min(b.burst, b.level+b.rate*(now-b.last).Seconds())
+	b.last = now
+}
+
+// push adds a level; lower ones before it are covered by it. When there is no room the two latest are
+// merged to the higher level at the later place.
+func (b *Bucket) push(p peak) {
+	for b.count > 0 && b.peaks[b.count-1].level <= p.level {
+		b.count--
+	}
+	if b.count == peakLimit {
+		b.peaks[peakLimit-1].sequence = p.sequence
+		return
+	}
+	b.peaks[b.count] = p
+	b.count++
+}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// relaxAfter is how long a report of a full endpoint is believed.
+const relaxAfter = 100 * time.Millisecond
+
 type phase uint8
 
 const (
@@ -172,7 +175,7 @@
 	if !ok || e.Attempt != j.attempt {
 		return nil
 	}
-	d.report(j, e)
+	d.report(j, e, now)
 	switch e.Kind {
 	case Reserved:
 		d.reserved(j, now)
@@ -210,6 +213,9 @@
 		}
 		d.fail(j, reason)
 	}
+	if j, _, ok := d.queue.Peek(); ok {
+		d.router.Relax(now, relaxAfter, d.pieces(j))
+	}
 	d.pump(now)
 	return d.commands
 }
@@ -356,7 +362,7 @@
 }
 
 // report takes in the load that came with an answer from the endpoint now in use.
-func (d *Dispatcher) report(j *job, e Event) {
+func (d *Dispatcher) report(j *job, e Event, now time.Duration) {
 	if e.Load == nil {
 		return
 	}
@@ -364,7 +370,7 @@
 	if j.phase == prefilling {
 		id = j.prefill
 	}
-	d.router.Report(id, *e.Load)
+	d.router.Report(id, *e.Load, now)
 }
 
 // failed handles a lost attempt: it is tried again elsewhere while attempts and the budget last.
--- /dev/null
+++ b/pkg/limiter/limiter.go
@@ -0,0 +1,180 @@
+// Package limiter holds each client account to its rate and burst over all gateways together.
+//
+// Every gateway holds a share of every account's limit, as its sharer allows, and admits from it. What
+// it lacks it asks others to charge to their shares, one message a request: the charge is made
+// before the request is admitted, so the sum over all gateways never rises.
+package limiter
+
+import (
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/bucket"
+	"github.com/pistachiovane/pistachiovane/pkg/sharer"
+)
+
+// Target returns the share that a member of a view is entitled to, for an account.
+type Target func(v sharer.View, self, account string) float64
+
+// Equal gives each listed gateway the same share of every account.
+func Equal(v sharer.View, _, _ string) float64 {
+	return 1 / float64(len(v.Members))
+}
+
+// Verdict is the outcome of an admission.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Granted means that the tokens are charged to the own share.
+	Granted Verdict = iota + 1
+	// Short means that the own share lacks tokens; others may be asked.
+	Short
+	// Over means that the request is larger than the account's burst.
+	Over
+	// Unsure means that the process was suspended and must hear from others first.
+	Unsure
+	// Unknown means that there is no such account.
+	Unknown
+)
+
+// Ticket is a charge to be settled once.
+type Ticket struct {
+	Account string
+	Charge  bucket.Charge
+	Tokens  float64
+	// generation is that of the ledger entry; an entry that was replaced takes nothing back.
+	generation uint64
+}
+
+// Plan is the limit of one account.
+type Plan struct {
+	Account string
+	// Rate is in tokens a second, Burst in tokens.
+	Rate  float64
+	Burst float64
+}
+
+type entry struct {
+	plan       Plan
+	bucket     bucket.Bucket
+	generation uint64
+	// mark is the number of the latest Set that listed the account.
+	mark uint64
+}
+
+// Limiter is the ledger of one gateway. It is not safe for concurrent use.
+type Limiter struct {
+	sharer  *sharer.Sharer
+	target  Target
+	entries map[string]*entry
+	// generation is that of the sharer when the buckets were sized.
+	generation uint64
+	created    uint64
+	sets       uint64
+}
+
+// New returns a limiter without accounts.
+func New(s *sharer.Sharer, t Target) *Limiter {
+	return &Limiter{sharer: s, target: t, entries: make(map[string]*entry)}
+}
+
+// Set replaces all plans. Accounts that stay keep their level, a new one starts empty.
+func (l *Limiter) Set(plans []Plan, now time.Duration) {
+	l.sets++
+	for _, p := range plans {
+		l.set(p, now)
+	}
+	for name, e := range l.entries {
+		if e.mark != l.sets {
+			delete(l.entries, name)
+		}
+	}
+}
+
+func (l *Limiter) set(p Plan, now time.Duration) {
+	e, ok := l.entries[p.Account]
+	if !ok {
+		l.created++
+		e = &entry{generation: l.created, bucket: bucket.New(0, 0, now)}
+		l.entries[p.Account] = e
+	}
+	e.mark = l.sets
+	if e.plan == p {
+		return
+	}
+	e.plan = p
+	l.size(e, now)
+}
+
+// Admit charges tokens to the own share. wait tells, for Short, when the own share would have them.
+func (l *Limiter) Admit(account string, tokens float64, now, wall time.Duration) (t Ticket, v Verdict, wait time.Duration) {
+	e, ok := l.entries[account]
+	if !ok {
+		return Ticket{}, Unknown, 0
+	}
+	if tokens > e.plan.Burst {
+		return Ticket{}, Over, 0
+	}
+	if !l.sharer.Check(now, wall) {
+		return Ticket{}, Unsure, 0
+	}
+	l.Resize(now)
+	charge, ok := e.bucket.Take(tokens, now)
+	if ok {
+		return Ticket{Account: account, Charge: charge, Tokens: tokens, generation: e.generation}, Granted, 0
+	}
+	return Ticket{}, Short, l.wait(e, tokens, now)
+}
+
+// Settle returns the unused part of a ticket and tells how much of it was credited. A ticket must be
+// settled at most once.
+func (l *Limiter) Settle(t Ticket, unused float64, now time.Duration) float64 {
+	e, ok := l.entries[t.Account]
+	if !ok || e.generation != t.generation {
+		return 0
+	}
+	l.Resize(now)
+	return e.bucket.Return(t.Charge, min(unused, t.Tokens), now)
+}
+
+// Resize brings every bucket to the share that is now held. It must run soon after each change of
+// the sharer, and does nothing otherwise.
+func (l *Limiter) Resize(now time.Duration) {
+	if l.generation == l.sharer.Generation() {
+		return
+	}
+	l.generation = l.sharer.Generation()
+	for _, e := range l.entries {
+		l.size(e, now)
+	}
+}
+
+// Level returns the tokens of an account that the own share has now.
+func (l *Limiter) Level(account string, now time.Duration) float64 {
+	e, ok := l.entries[account]
+	if !ok {
+		return 0
+	}
+	return e.bucket.Level(now)
+}
+
+// Slack returns the tokens that a debit must add for the time that its message is under way, so that the
+// charge counts from its arrival.
+func (l *Limiter) Slack(account string, underway time.Duration) float64 {
+	e, ok := l.entries[account]
+	if !ok {
+		return 0
+	}
+	return e.plan.Rate * underway.Seconds()
+}
+
+func (l *Limiter) size(e *entry, now time.Duration) {
+	share := l.sharer.Share(func(v sharer.View, self string) float64 { return l.target(v, self, e.plan.Account) })
+	e.bucket.Resize(e.plan.Rate*share, e.plan.Burst*share, now)
+}
+
+// wait estimates when the account as a whole can pay; at least the time at its full rate.
+func (l *Limiter) wait(e *entry, tokens float64, now time.Duration) time.Duration {
+	missing := tokens - e.bucket.Level(now)
+	return time.Duration(missing / e.plan.Rate * float64(time.Second))
+}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -44,7 +44,7 @@
 		r = &record{}
 		q.records[f] = r
 	}
-	r.at = now
+	r.at = max(r.at, now)
 	for _, e := range r.endpoints {
 		if e == endpoint {
 			return
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 )
@@ -27,7 +28,9 @@
 	endpoint.Load
 	// Suspect is set while a request that may crash endpoints runs there.
 	Suspect bool
-	index   int
+	// reported is when the load was reported last.
+	reported time.Duration
+	index    int
 }
 
 // Room tells whether a request of that many pieces fits now.
@@ -135,9 +138,23 @@
 }
 
 // Report replaces the known load of an endpoint with a fresh report.
-func (r *Router) Report(id string, load endpoint.Load) {
+func (r *Router) Report(id string, load endpoint.Load, now time.Duration) {
 	if v, ok := r.views[id]; ok {
 		v.Load = load
+		v.reported = now
+	}
+}
+
+// Relax supposes one free slot on each endpoint that was reported full longer than age ago: what other
+// gateways held there may have ended, and only a new attempt tells.
+func (r *Router) Relax(now, age time.Duration, pieces int) {
+	for _, v := range r.views {
+		if v.Role != endpoint.Decode || now-v.reported < age || v.Room(pieces) {
+			continue
+		}
+		v.Held = min(v.Held, max(0, v.Slots-1))
+		v.FreePieces = max(v.FreePieces, pieces)
+		v.reported = now
 	}
 }
 
--- /dev/null
+++ b/pkg/sharer/sharer.go
@@ -0,0 +1,273 @@
+// Package sharer decides which share of every account's limit a holder may use, so that the shares of
+// all holders never sum above one, whatever fails, pauses or is cut off.
+//
+// It is demarcation over a versioned list of holders. Under a list each holder is entitled to a
+// target share, and the targets of one list sum to one. A holder that learns of a newer list
+// shrinks to the smaller of its shares at once. It grows to its new target only after every other listed
+// holder has answered, in its present incarnation, that it applied that very list, and after those that were
+// taken off the list have certainly stopped or noticed. Time alone is never an answer. A partition
+// therefore only stops growth: each side goes on with what it holds.
+package sharer
+
+import (
+	"slices"
+	"time"
+)
+
+// View is one version of the list of holders.
+type View struct {
+	Version uint64
+	// Members is sorted and without repetitions.
+	Members []string
+}
+
+// Has tells whether the name is listed.
+func (v View) Has(name string) bool {
+	_, ok := slices.BinarySearch(v.Members, name)
+	return ok
+}
+
+// Member is a holder with its incarnation.
+type Member struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Message is a question or an answer between holders. Both tell all that the sender knows.
+type Message struct {
+	From Member
+	// Answer is set on answers.
+	Answer bool
+	View   View
+	// Asked is the asker's clock when it asked, echoed by the answer.
+	Asked time.Duration
+	// Asker is the incarnation that asked, echoed by the answer.
+	Asker uint64
+	// Age is how long ago the sender applied the view.
+	Age time.Duration
+	// Known are the incarnations that the sender has heard of, directly.
+	Known []Member
+	// Sure is false while the sender has noticed a pause and not yet heard from anyone.
+	Sure bool
+}
+
+// Options are the bounds of a sharer.
+type Options struct {
+	// Lag is the longest time from the publication of a list without a holder until that holder's VM
+	// has stopped or is paused.
+	Lag time.Duration
+	// Pause is the longest pause that a holder may not notice.
+	Pause time.Duration
+}
+
+// answer is the latest direct answer of another holder.
+type answer struct {
+	incarnation uint64
+	version     uint64
+	// applied is the latest time, on the own clock, at which the holder can have applied the version.
+	applied time.Duration
+}
+
+// Sharer is the state of one holder. It is not safe for concurrent use.
+type Sharer struct {
+	self    Member
+	options Options
+	// views begins with the view under which the share was last grown, if any; the share is the least
+	// target of all of them, and zero when the first is missing.
+	views []View
+	grown bool
+	// applied is when the newest view was applied.
+	applied time.Duration
+	answers map[string]answer
+	known   map[string]uint64
+	sure    bool
+	// wokeAt is when the latest pause was noticed; only later questions make sure again.
+	wokeAt    time.Duration
+	lastCheck time.Duration
+	lastWall  time.Duration
+	checked   bool
+	// generation rises whenever shares may have changed.
+	generation uint64
+}
+
+// New returns a holder without any share.
+func New(self Member, o Options) *Sharer {
+	return &Sharer{self: self, options: o, answers: make(map[string]answer), known: make(map[string]uint64), sure: true}
+}
+
+// Generation rises whenever shares may have changed.
+func (s *Sharer) Generation() uint64 {
+	return s.generation
+}
+
+// View returns the newest view.
+func (s *Sharer) View() View {
+	if len(s.views) == 0 {
+		return View{}
+	}
+	return s.views[len(s.views)-1]
+}
+
+// Grown tells whether the holder uses its whole target under the newest view.
+func (s *Sharer) Grown() bool {
+	return s.grown && len(s.views) == 1
+}
+
+// Share returns the share of an account that target gives a member under a view, held safely.
+func (s *Sharer) Share(target func(v View, self string) float64) float64 {
+	if !s.grown || len(s.views) == 0 {
+		return 0
+	}
+	share := 1.0
+	for _, v := range s.views {
+		if !v.Has(s.self.Name) {
+			return 0
+		}
+		share = min(share, target(v, s.self.Name))
+	}
+	return share
+}
+
+// Observe takes in a view, from the platform or from another holder; an older one is ignored.
+func (s *Sharer) Observe(v View, now time.Duration) {
+	if v.Version <= s.View().Version {
+		return
+	}
+	s.views = append(s.views, v)
+	if !s.grown {
+		s.views = s.views[len(s.views)-1:]
+	}
+	s.applied = now
+	clear(s.answers)
+	s.generation++
+	s.tryGrow(now)
+}
+
+// Heard records that the platform's list was read after the latest pause: asked is when the read began.
+func (s *Sharer) Heard(asked time.Duration) {
+	s.becomeSure(asked)
+}
+
+// Check tells whether the holder may use its share now. It must be called right before each use and at least
+// every half of the Pause option: a longer gap of either clock means that the process was suspended,
+// and nothing is used until another holder or the list was heard.
+func (s *Sharer) Check(now, wall time.Duration) bool {
+	if s.checked {
+		monotonic := now - s.lastCheck
+		elapsed := wall - s.lastWall
+		if monotonic > s.options.Pause || elapsed > s.options.Pause || elapsed < -s.options.Pause {
+			s.sure = false
+			s.wokeAt = now
+		}
+	}
+	s.checked = true
+	s.lastCheck, s.lastWall = now, wall
+	return s.sure || s.alone()
+}
+
+// Question returns the message that asks other holders for their state.
+func (s *Sharer) Question(now time.Duration) Message {
+	return s.message(now)
+}
+
+// Receive takes in a message; for a question it returns the answer to send back.
+func (s *Sharer) Receive(m Message, now time.Duration) (reply Message, answered bool) {
+	s.Observe(m.View, now)
+	s.learn(m)
+	if !m.Answer {
+		reply = s.message(now)
+		reply.Answer = true
+		reply.Asked, reply.Asker = m.Asked, m.From.Incarnation
+		return reply, true
+	}
+	if m.Asker != s.self.Incarnation || m.Asked > now {
+		return Message{}, false
+	}
+	s.accept(m, now)
+	s.tryGrow(now)
+	return Message{}, false
+}
+
+// Tick grows the share when only time was missing.
+func (s *Sharer) Tick(now time.Duration) {
+	s.tryGrow(now)
+}
+
+// alone tells whether nobody else is listed who could have taken a share over.
+func (s *Sharer) alone() bool {
+	v := s.View()
+	return len(v.Members) == 1 && v.Has(s.self.Name)
+}
+
+func (s *Sharer) message(now time.Duration) Message {
+	m := Message{From: s.self, View: s.View(), Asked: now, Age: now - s.applied, Sure: s.sure}
+	for name, incarnation := range s.known {
+		m.Known = append(m.Known, Member{Name: name, Incarnation: incarnation})
+	}
+	slices.SortFunc(m.Known, func(a, b Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return m
+}
+
+// learn forgets the answers of holders that someone has met in another incarnation: they have to be
+// asked again, because the new incarnation may have grown under an older view.
+func (s *Sharer) learn(m Message) {
+	s.known[m.From.Name] = m.From.Incarnation
+	s.distrust(m.From)
+	for _, k := range m.Known {
+		s.distrust(k)
+	}
+}
+
+func (s *Sharer) distrust(m Member) {
+	if a, ok := s.answers[m.Name]; ok && a.incarnation != m.Incarnation {
+		delete(s.answers, m.Name)
+	}
+}
+
+// accept keeps a direct answer to a question that was asked after the present view was applied.
+func (s *Sharer) accept(m Message, now time.Duration) {
+	if m.Sure && m.View.Has(s.self.Name) {
+		s.becomeSure(m.Asked)
+	}
+	if m.View.Version != s.View().Version || m.Asked < s.applied {
+		return
+	}
+	s.answers[m.From.Name] = answer{incarnation: m.From.Incarnation, version: m.View.Version, applied: now - m.Age}
+}
+
+func (s *Sharer) becomeSure(asked time.Duration) {
+	if !s.sure && asked >= s.wokeAt {
+		s.sure = true
+	}
+}
+
+// tryGrow uses the whole target once every other holder has answered for the newest view and those
+// that were taken off the list are certainly out.
+func (s *Sharer) tryGrow(now time.Duration) {
+	v := s.View()
+	if s.Grown() || !v.Has(s.self.Name) || !s.sure {
+		return
+	}
+	earliest, latest := s.applied, s.applied
+	for _, name := range v.Members {
+		if name == s.self.Name {
+			continue
+		}
+		a, ok := s.answers[name]
+		if !ok || a.version != v.Version {
+			return
+		}
+		earliest, latest = min(earliest, a.applied), max(latest, a.applied)
+	}
+	if now < earliest+s.options.Lag+s.options.Pause || now < latest+s.options.Pause {
+		return
+	}
+	s.views = []View{v}
+	s.grown = true
+	s.generation++
+}
--- /dev/null
+++ b/service/fleet/convert.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
+	"github.com/pistachiovane/pistachiovane/pkg/sharer"
+)
+
+// ShareFrom converts a message of the sharer to its wire form.
+func ShareFrom(m sharer.Message) Share {
+	s := Share{
+		Name: m.From.Name, Incarnation: m.From.Incarnation, Answer: m.Answer,
+		View: m.View.Version, Members: m.View.Members,
+		Asked: m.Asked, Asker: m.Asker, Age: m.Age, Sure: m.Sure,
+	}
+	for _, k := range m.Known {
+		s.Known = append(s.Known, Known(k))
+	}
+	return s
+}
+
+// Message converts a message of the sharer from its wire form. name is that of the verified
+// certificate; the name in the message is not believed.
+func (s Share) Message(name string) sharer.Message {
+	m := sharer.Message{
+		From: sharer.Member{Name: name, Incarnation: s.Incarnation}, Answer: s.Answer,
+		View:  sharer.View{Version: s.View, Members: s.Members},
+		Asked: s.Asked, Asker: s.Asker, Age: s.Age, Sure: s.Sure,
+	}
+	for _, k := range s.Known {
+		m.Known = append(m.Known, sharer.Member(k))
+	}
+	return m
+}
+
+// BlamesFrom converts crash records to their wire form.
+func BlamesFrom(blames []quarantiner.Blame) []Blame {
+	var out []Blame
+	for _, b := range blames {
+		out = append(out, Blame{Fingerprint: uint64(b.Fingerprint), Endpoints: b.Endpoints, AgeMillis: b.Age.Milliseconds()})
+	}
+	return out
+}
+
+// LocalBlames converts crash records from their wire form.
+func LocalBlames(blames []Blame) []quarantiner.Blame {
+	var out []quarantiner.Blame
+	for _, b := range blames {
+		out = append(out, quarantiner.Blame{
+			Fingerprint: quarantiner.Fingerprint(b.Fingerprint), Endpoints: b.Endpoints, Age: time.Duration(b.AgeMillis) * time.Millisecond,
+		})
+	}
+	return out
+}
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/pistachiovane/pistachiovane/pkg/endpoint"
+import (
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+)
 
 // The methods of the fleet protocol.
 const (
@@ -150,26 +154,39 @@
 	Runner string `json:"runner"`
 }
 
-// Gossip is one exchange between gateways: versions held, lists that the other lacks, and the
-// sharing state of limits.
+// Gossip is one exchange between gateways. The asker tells what it holds; the answer carries the
+// lists that the asker lacks.
 type Gossip struct {
-	// Plans and Uses are the versions in force.
 	Plans uint64 `json:"plans"`
 	Uses  uint64 `json:"uses"`
-	// Lists carries whole lists that are newer than the receiver's versions.
+	VMs   uint64 `json:"vms"`
+	// Lists carries the lists that are newer than the asker's, on answers only.
 	Lists []List `json:"lists,omitempty"`
-	// View is the version and the members of the gateway list.
-	View        uint64   `json:"view"`
-	Members     []string `json:"members,omitempty"`
-	Incarnation string   `json:"incarnation"`
-	// Known maps gateway names to the incarnations that the sender knows.
-	Known map[string]string `json:"known,omitempty"`
-	// Asked echoes the time of the request, on an answer.
-	Asked int64 `json:"asked,omitempty"`
+	Share Share  `json:"share"`
 	// Blames are the fingerprints of requests that crashed endpoints.
 	Blames []Blame `json:"blames,omitempty"`
 }
 
+// Share is a message of the sharer of limits.
+type Share struct {
+	Name        string        `json:"name"`
+	Incarnation uint64        `json:"incarnation"`
+	Answer      bool          `json:"answer,omitempty"`
+	View        uint64        `json:"view"`
+	Members     []string      `json:"members"`
+	Asked       time.Duration `json:"asked"`
+	Asker       uint64        `json:"asker,omitempty"`
+	Age         time.Duration `json:"age"`
+	Known       []Known       `json:"known,omitempty"`
+	Sure        bool          `json:"sure,omitempty"`
+}
+
+// Known is an incarnation that the sender has heard from.
+type Known struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // List is one version of a list.
 type List struct {
 	Name    string `json:"name"`
--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -161,3 +161,12 @@
 	}
 	return errors.Wrap(json.Unmarshal(*params, into), "decode params")
 }
+
+// Handle decodes the params of a request and serves it; it fails on params that do not decode.
+func Handle[T any](params json.RawMessage, serve func(T) any) (any, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		return nil, errors.Wrap(err, "decode params")
+	}
+	return serve(v), nil
+}
