--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -51,7 +51,7 @@
 	reserver *reserver.Reserver
 	fencer   *fencer.Fencer
 	// running maps an attempt to the cancel function of its work.
-	running map[reserver.Key]context.CancelFunc
+	running  map[reserver.Key]context.CancelFunc
 	backlog  int
 	prefills int
 	draining bool
@@ -260,31 +260,39 @@
 	defer func() { _ = resp.Body.Close() }()
 	reader := bufio.NewReaderSize(resp.Body, maxLine)
 	batch := fleet.Tokens{Attempt: w.Attempt}
-	for {
-		line, err := reader.ReadSlice('\n')
-		if err != nil {
-			return errors.Wrap(err, "read stream")
-		}
-		var chunk engine.Chunk
-		if err := json.Unmarshal(line, &chunk); err != nil {
-			return errors.Wrap(err, "decode chunk")
-		}
-		if !chunk.End {
-			if len(batch.Texts) == 0 {
-				batch.Index = chunk.Index
-			}
-			batch.Texts = append(batch.Texts, chunk.Text)
+	for end := false; !end; {
+		if end, err = readChunk(reader, &batch); err != nil {
+			return err
 		}
-		if len(batch.Texts) > 0 && (chunk.End || reader.Buffered() == 0) {
-			if err := p.Notify(ctx, fleet.MethodTokens, batch); err != nil {
-				return err
-			}
-			batch.Texts = nil
+		if len(batch.Texts) == 0 || (!end && reader.Buffered() > 0) {
+			continue
 		}
-		if chunk.End {
-			return nil
+		if err := p.Notify(ctx, fleet.MethodTokens, batch); err != nil {
+			return err
 		}
+		batch.Texts = nil
+	}
+	return nil
+}
+
+// readChunk adds the next token of a stream to the batch; end is set at the end of the stream.
+func readChunk(reader *bufio.Reader, batch *fleet.Tokens) (end bool, err error) {
+	line, err := reader.ReadSlice('\n')
+	if err != nil {
+		return false, errors.Wrap(err, "read stream")
+	}
+	var chunk engine.Chunk
+	if err := json.Unmarshal(line, &chunk); err != nil {
+		return false, errors.Wrap(err, "decode chunk")
+	}
+	if chunk.End {
+		return true, nil
+	}
+	if len(batch.Texts) == 0 {
+		batch.Index = chunk.Index
 	}
+	batch.Texts = append(batch.Texts, chunk.Text)
+	return false, nil
 }
 
 func (e *Executor) post(ctx context.Context, path string, body, into any) error {
--- /dev/null
+++ b/cmd/pistachiovane/cmds/cmds.go
@@ -0,0 +1,114 @@
+// Package cmds holds the commands of pistachiovane, a file each.
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+)
+
+// The exit codes.
+const (
+	exitOK = iota
+	exitFailed
+	exitUsage
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+type arguments struct {
+	Gateway *gatewayCommand `arg:"subcommand:gateway" help:"run a gateway"`
+	Agent   *agentCommand   `arg:"subcommand:agent" help:"run an agent beside an endpoint"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and both lists"`
+	Dump    *dumpCommand    `arg:"subcommand:dump" help:"print the state of a running process"`
+	Key     *keyCommand     `arg:"subcommand:key" help:"make a caller's key and its digest"`
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole fleet on stand-ins"`
+	Version *struct{}       `arg:"subcommand:version" help:"print the version"`
+
+	Level string `arg:"--log" default:"info" help:"log level: debug, info, warn or error"`
+	Part  string `arg:"--part" help:"log only the part with this prefix, such as config"`
+}
+
+// Description returns the text above the usage.
+func (arguments) Description() string {
+	return "pistachiovane routes requests to language-model engines with separate prefill and decode pools."
+}
+
+// output is where a command writes.
+type output struct {
+	out io.Writer
+	err io.Writer
+	log *log.Logger
+}
+
+// command is one subcommand; run returns an error for exit code 1.
+type command interface {
+	run(ctx context.Context, o output) error
+}
+
+// Run parses the arguments, runs the command and returns the exit code. A first SIGTERM or interrupt ends
+// the command's context, a second one ends the process.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "pistachiovane", Out: stderr, Exit: func(int) {}}, &a)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	if err := parser.Parse(args); err != nil {
+		return usage(parser, err, stdout, stderr)
+	}
+	c := a.command()
+	if c == nil {
+		if a.Version != nil {
+			_, _ = fmt.Fprintln(stdout, "pistachiovane", Version)
+			return exitOK
+		}
+		parser.WriteHelp(stderr)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, stop)
+	if err := c.run(ctx, output{out: stdout, err: stderr, log: newLogger(a.Level, a.Part, stderr)}); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func usage(parser *arg.Parser, err error, stdout, stderr io.Writer) int {
+	if errors.Is(err, arg.ErrHelp) {
+		_ = parser.WriteHelpForSubcommand(stdout, parser.SubcommandNames()...)
+		return exitOK
+	}
+	_ = parser.WriteUsageForSubcommand(stderr, parser.SubcommandNames()...)
+	_, _ = fmt.Fprintln(stderr, "error:", err)
+	return exitUsage
+}
+
+func (a *arguments) command() command {
+	switch {
+	case a.Gateway != nil:
+		return a.Gateway
+	case a.Agent != nil:
+		return a.Agent
+	case a.Check != nil:
+		return a.Check
+	case a.Dump != nil:
+		return a.Dump
+	case a.Key != nil:
+		return a.Key
+	case a.Demo != nil:
+		return a.Demo
+	default:
+		return nil
+	}
+}
--- a/gateway/admitter/admitter.go
+++ b/gateway/admitter/admitter.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// minWait is the shortest pause before the shares are asked again.
+	minWait = 5 * time.Millisecond
 	// underway bounds the time that a debit's message takes; a slower answer is not used.
 	underway = 50 * time.Millisecond
 	// grantLimit bounds the debits that wait for settlement.
@@ -94,26 +96,49 @@
 	a.limiter.Set(plans, a.now())
 }
 
-// Admit charges tokens to the account. It returns a settlement, or why the request is refused.
-func (a *Admitter) Admit(ctx context.Context, account string, tokens float64) (Settlement, *Refusal) {
+// Admit charges tokens to the account. Where they are missing it waits for them up to patience. It
+// returns a settlement, or why the request is refused.
+func (a *Admitter) Admit(ctx context.Context, account string, tokens float64, patience time.Duration) (Settlement, *Refusal) {
+	deadline := a.now() + patience
+	for {
+		s, refusal := a.try(ctx, account, tokens)
+		if refusal == nil {
+			return s, nil
+		}
+		wait := max(refusal.Wait, minWait)
+		if refusal.Verdict != limiter.Short || a.now()+wait > deadline {
+			a.mu.Lock()
+			a.stats.Refused++
+			a.mu.Unlock()
+			return nil, refusal
+		}
+		select {
+		case <-ctx.Done():
+			return nil, refusal
+		case <-time.After(wait):
+		}
+	}
+}
+
+// try charges tokens to the own share alone, or to several shares together.
+func (a *Admitter) try(ctx context.Context, account string, tokens float64) (Settlement, *Refusal) {
 	a.mu.Lock()
 	ticket, verdict, wait := a.limiter.Admit(account, tokens, a.now(), wall())
 	others := a.others(account)
-	slack := a.limiter.Slack(account, underway)
 	a.count(verdict)
 	a.mu.Unlock()
 	switch verdict {
 	case limiter.Granted:
-		return a.settlement(ticket), nil
+		return a.settlement([]part{{ticket: ticket, tokens: tokens}}), nil
 	case limiter.Short:
-		if s, ok := a.borrow(ctx, account, tokens, slack, others); ok {
+		s, missing := a.collect(ctx, account, tokens, others)
+		if missing <= 0 {
 			return s, nil
 		}
+		return nil, &Refusal{Verdict: verdict, Wait: time.Duration(missing / tokens * float64(wait))}
+	default:
+		return nil, &Refusal{Verdict: verdict, Wait: wait}
 	}
-	a.mu.Lock()
-	a.stats.Refused++
-	a.mu.Unlock()
-	return nil, &Refusal{Verdict: verdict, Wait: wait}
 }
 
 // Charge serves the debit of another gateway.
@@ -124,14 +149,14 @@
 	if len(a.grants) >= grantLimit {
 		return fleet.DebitAnswer{}
 	}
-	ticket, verdict, _ := a.limiter.Admit(d.Account, d.Tokens, a.now(), wall())
-	if verdict != limiter.Granted {
+	ticket, granted := a.limiter.Lend(d.Account, d.Tokens, underway, a.now(), wall())
+	if granted == 0 {
 		return fleet.DebitAnswer{}
 	}
 	a.next++
 	a.grants[a.next] = grant{ticket: ticket, at: a.now()}
 	a.stats.Lent++
-	return fleet.DebitAnswer{Granted: true, Grant: a.next}
+	return fleet.DebitAnswer{Tokens: granted, Grant: a.next}
 }
 
 // Settled serves the settlement of a debit; one that was settled before is ignored.
@@ -196,42 +221,78 @@
 	return State{View: v.Version, Members: v.Members, Grown: a.sharer.Grown(), Stats: a.stats}
 }
 
-// borrow asks other gateways in turn to charge the tokens. The debit is larger by what the lender's share
-// may refill while the message is under way, so that the charge counts from the answer's arrival.
-func (a *Admitter) borrow(ctx context.Context, account string, tokens, slack float64, others []string) (Settlement, bool) {
+// part is what one share was charged for a request.
+type part struct {
+	ticket limiter.Ticket
+	// lender is empty for the own share.
+	lender string
+	grant  uint64
+	tokens float64
+}
+
+// collect charges the own share and then others in turn until the tokens are covered. It returns how many
+// are missing; whatever was charged is given back then, and also when it took too long, because the
+// charges would count from too early.
+func (a *Admitter) collect(ctx context.Context, account string, tokens float64, others []string) (Settlement, float64) {
+	start := a.now()
+	missing := tokens
+	var parts []part
+	a.mu.Lock()
+	ticket, granted := a.limiter.Lend(account, missing, underway, start, wall())
+	a.mu.Unlock()
+	if granted > 0 {
+		parts = append(parts, part{ticket: ticket, tokens: granted})
+		missing -= granted
+	}
 	for _, name := range others {
-		asked := time.Now()
-		answer, err := a.lender.Debit(ctx, name, fleet.Debit{Account: account, Tokens: tokens + slack})
-		if err != nil || !answer.Granted {
-			continue
+		if missing <= 0 {
+			break
 		}
-		if time.Since(asked) > underway {
-			a.lender.Settle(name, fleet.Settle{Grant: answer.Grant, Unused: tokens})
+		answer, err := a.lender.Debit(ctx, name, fleet.Debit{Account: account, Tokens: missing})
+		if err != nil || answer.Tokens <= 0 {
 			continue
 		}
+		parts = append(parts, part{lender: name, grant: answer.Grant, tokens: answer.Tokens})
+		missing -= answer.Tokens
 		a.mu.Lock()
 		a.lucky[account] = name
-		a.stats.Borrowed++
 		a.mu.Unlock()
-		var once sync.Once
-		return func(unused float64) {
-			once.Do(func() { a.lender.Settle(name, fleet.Settle{Grant: answer.Grant, Unused: unused}) })
-		}, true
 	}
-	return nil, false
+	s := a.settlement(parts)
+	if missing > 0 || a.now()-start > underway {
+		s(tokens)
+		return nil, max(missing, 1)
+	}
+	a.mu.Lock()
+	a.stats.Borrowed++
+	a.mu.Unlock()
+	return s, 0
 }
 
-func (a *Admitter) settlement(t limiter.Ticket) Settlement {
+// settlement returns unused tokens to the shares that were charged, the latest first.
+func (a *Admitter) settlement(parts []part) Settlement {
 	var once sync.Once
 	return func(unused float64) {
 		once.Do(func() {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			a.limiter.Settle(t, unused, a.now())
+			for i := len(parts) - 1; i >= 0 && unused > 0; i-- {
+				back := min(unused, parts[i].tokens)
+				unused -= back
+				a.giveBack(parts[i], back)
+			}
 		})
 	}
 }
 
+func (a *Admitter) giveBack(p part, unused float64) {
+	if p.lender != "" {
+		a.lender.Settle(p.lender, fleet.Settle{Grant: p.grant, Unused: unused})
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limiter.Settle(p.ticket, unused, a.now())
+}
+
 // others lists the other gateways, the one that granted the account's last debit first.
 func (a *Admitter) others(account string) []string {
 	var out []string
--- a/gateway/configurer/configurer.go
+++ b/gateway/configurer/configurer.go
@@ -54,7 +54,6 @@
 	inForce  map[string]fleet.List
 	findings finding.Findings
 	vms      platform.VMs
-	wake     chan struct{}
 }
 
 // New returns a configurer without lists.
--- a/gateway/driver/driver.go
+++ b/gateway/driver/driver.go
@@ -100,7 +100,7 @@
 	id := d.sequence
 	f := &Flight{
 		id: id, account: a.Account.Name, key: a.Key, prompt: a.Prompt, tokens: a.Tokens, most: a.Most,
-		wake: make(chan struct{}, 1), cancel: func() { d.cancel(id) },
+		priority: draftPriority, wake: make(chan struct{}, 1), cancel: func() { d.cancel(id) },
 	}
 	d.flights[id] = f
 	r := dispatcher.Request{
@@ -109,6 +109,7 @@
 		Fingerprint: quarantiner.Fingerprint(tokenizer.Digest(a.Account.Name, a.Prompt)),
 	}
 	if !a.Draft {
+		f.priority = 0
 		r.Class = scheduler.Interactive
 		r.Deadline = d.now() + a.First
 	}
@@ -344,6 +345,7 @@
 	w := fleet.Work{
 		Attempt: attemptOf(c), Account: f.account, Prompt: f.prompt, Tokens: c.Prompt,
 		Prefix: tokenizer.Prefix(f.prompt), Sent: c.Sent, Max: f.most,
+		Priority: f.priority,
 	}
 	return w
 }
--- a/gateway/driver/flight.go
+++ b/gateway/driver/flight.go
@@ -15,9 +15,10 @@
 	key     catalog.Digest
 	prompt  string
 	// tokens and most are the prompt length and the largest answer, in tokens.
-	tokens int
-	most   int
-	cancel func()
+	tokens   int
+	most     int
+	priority int
+	cancel   func()
 
 	mu sync.Mutex
 	// attempt is the only one whose tokens are taken; zero while none may write.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,10 +45,6 @@
 	retrySaved = 100
 	// freshPieces is the engine memory supposed of an endpoint that has not reported yet.
 	freshPieces = 1 << 20
-	// shareLag bounds the time from a list without a gateway until that VM has stopped.
-	shareLag = 5 * time.Second
-	// sharePause is the longest pause that a gateway may not notice.
-	sharePause = 2 * time.Second
 	// drainPoll is how often a draining gateway looks whether its work has ended.
 	drainPoll = 20 * time.Millisecond
 	// stopTimeout bounds the end of the caller's port.
@@ -101,17 +97,17 @@
 	g.driver.Link(g.linker)
 	g.requester = requester.New(g.linker)
 	self := sharer.Member{Name: s.Name, Incarnation: rand.Uint64()}
-	shares := sharer.New(self, sharer.Options{Lag: shareLag, Pause: sharePause})
+	shares := sharer.New(self, sharer.Options{Lag: s.Limits.Lag, Pause: s.Limits.Pause})
 	g.admitter = admitter.New(s.Name, shares, limiter.New(shares, limiter.Equal))
 	client := platform.New(s.Platform.URL, &http.Client{Transport: g.transport})
 	g.configurer = configurer.New(client, s.Platform.Poll, logger, g.accepted, g.listed)
 	g.gossiper = gossiper.New(s.Name, incarnation, credentials, g.admitter, g.configurer, g.driver)
 	g.admitter.Lend(g.gossiper)
-	g.server, err = server.New(server.Options{Body: s.Callers.Body, First: s.Route.First}, g.configurer.Current, g.admitter, g.driver, g.requester)
+	g.server, err = server.New(server.Options{Body: s.Callers.Body, Slow: s.Callers.Slow, First: s.Route.First}, g.configurer.Current, g.admitter, g.driver, g.requester)
 	if err != nil {
 		return nil, err
 	}
-	g.http = &http.Server{Handler: g.server, ReadTimeout: s.Callers.Slow, MaxHeaderBytes: s.Callers.Header}
+	g.http = &http.Server{Handler: g.server, ReadHeaderTimeout: s.Callers.Slow, MaxHeaderBytes: s.Callers.Header}
 	g.supervise(credentials)
 	return g, nil
 }
--- a/gateway/server/completions.go
+++ b/gateway/server/completions.go
@@ -97,7 +97,11 @@
 // submit admits a prompt and starts its flight.
 func (s *Server) submit(ctx context.Context, p prompt) (*answer, error) {
 	tokens := tokenizer.Count(p.text)
-	c, _, settle, err := s.enter(ctx, catalog.RouteModel, p.model, func(*catalog.Route) float64 { return float64(tokens + p.most) })
+	wait := patience
+	if p.draft {
+		wait = draftPatience
+	}
+	c, settle, err := s.enter(ctx, catalog.RouteModel, p.model, wait, func(*catalog.Route) float64 { return float64(tokens + p.most) })
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -24,6 +25,12 @@
 // writeTimeout bounds one write to a caller.
 const writeTimeout = 30 * time.Second
 
+const (
+	// patience is how long an interactive request waits for its plan's tokens, draftPatience a draft.
+	patience      = 300 * time.Millisecond
+	draftPatience = time.Minute
+)
+
 // Plain calls plain services.
 type Plain interface {
 	// Call runs a call on one of the service's endpoints and tells truthfully whether it ran.
@@ -36,6 +43,8 @@
 type Options struct {
 	// Body is in bytes.
 	Body int64
+	// Slow is the longest time that a caller may take to send its body.
+	Slow time.Duration
 	// First is the first-token deadline of interactive requests.
 	First time.Duration
 }
@@ -82,8 +91,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.busy.Add(1)
 	defer s.busy.Add(-1)
-	r.Body = http.MaxBytesReader(w, r.Body, s.options.Body)
-	s.handler.ServeHTTP(&flusher{ResponseWriter: w, control: http.NewResponseController(w)}, r)
+	control := http.NewResponseController(w)
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = control.SetReadDeadline(time.Now().Add(s.options.Slow))
+		r.Body = &timedBody{ReadCloser: http.MaxBytesReader(w, r.Body, s.options.Body), control: control}
+	}
+	s.handler.ServeHTTP(&flusher{ResponseWriter: w, control: control}, r)
 }
 
 // Drain refuses new requests from now on.
@@ -129,24 +142,24 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Type: typeOverload, Code: "starting", Message: "no configuration is in force yet", Run: callerapi.RunNotRun, RetryAfter: time.Second}
 }
 
-// enter finds the caller and the route of a request, and charges its cost.
-func (s *Server) enter(ctx context.Context, kind catalog.RouteKind, target string, tokens func(*catalog.Route) float64) (caller, *catalog.Route, admitter.Settlement, error) {
+// enter finds the caller of a request, checks that its plan allows the target, and charges its cost.
+func (s *Server) enter(ctx context.Context, kind catalog.RouteKind, target string, patience time.Duration, tokens func(*catalog.Route) float64) (caller, admitter.Settlement, error) {
 	c, ok := ctx.Value(callerKey{}).(caller)
 	if !ok {
-		return c, nil, nil, unauthorized()
+		return c, nil, unauthorized()
 	}
 	if s.draining.Load() {
-		return c, nil, nil, &Refusal{Status: http.StatusServiceUnavailable, Type: typeOverload, Code: "draining", Message: "this gateway is leaving", Run: callerapi.RunNotRun, RetryAfter: time.Second}
+		return c, nil, &Refusal{Status: http.StatusServiceUnavailable, Type: typeOverload, Code: "draining", Message: "this gateway is leaving", Run: callerapi.RunNotRun, RetryAfter: time.Second}
 	}
 	route, ok := c.catalog.Allowed(c.account.Plan, kind, target)
 	if !ok {
-		return c, nil, nil, denied(string(kind) + " " + target)
+		return c, nil, denied(string(kind) + " " + target)
 	}
-	settle, refusal := s.admitter.Admit(ctx, c.account.Name, tokens(route))
+	settle, refusal := s.admitter.Admit(ctx, c.account.Name, tokens(route), patience)
 	if refusal != nil {
-		return c, nil, nil, limited(refusal)
+		return c, nil, limited(refusal)
 	}
-	return c, route, settle, nil
+	return c, settle, nil
 }
 
 func limited(r *admitter.Refusal) *Refusal {
@@ -223,6 +236,21 @@
 	_, _ = w.Write(body)
 }
 
+// timedBody is a body whose read deadline ends with it, so that it does not cut a long answer off.
+type timedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read reads and lifts the deadline at the end of the body.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // flusher passes each write on at once, so that tokens reach the caller as they come.
 type flusher struct {
 	http.ResponseWriter
--- a/gateway/server/services.go
+++ b/gateway/server/services.go
@@ -43,7 +43,7 @@
 
 func (s *Server) call(ctx context.Context, call fleet.Call) (*callerapi.CallAnswer, error) {
 	cost := 0.0
-	c, _, settle, err := s.enter(ctx, catalog.RouteService, call.Service, func(r *catalog.Route) float64 { cost = r.Cost; return r.Cost })
+	c, settle, err := s.enter(ctx, catalog.RouteService, call.Service, patience, func(r *catalog.Route) float64 { cost = r.Cost; return r.Cost })
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/bucket/bucket.go
+++ b/pkg/bucket/bucket.go
@@ -57,6 +57,11 @@
 	return b.burst
 }
 
+// Rate returns the refill in tokens a second.
+func (b *Bucket) Rate() float64 {
+	return b.rate
+}
+
 // Wait returns how long it takes until that many tokens are available; ok is false when they never are.
 func (b *Bucket) Wait(tokens float64, now time.Duration) (wait time.Duration, ok bool) {
 	b.refill(now)
--- a/pkg/credential/credential.go
+++ b/pkg/credential/credential.go
@@ -25,7 +25,7 @@
 	// serverName is the name that every leaf is valid for.
 	serverName = "fleet.pistachiovane.internal"
 	// leafLife bounds a leaf certificate; a process is replaced long before.
-	leafLife = 90 * 24 * time.Hour
+	leafLife  = 90 * 24 * time.Hour
 	clockSkew = time.Hour
 )
 
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -158,14 +158,27 @@
 	return e.bucket.Level(now)
 }
 
-// Slack returns the tokens that a debit must add for the time that its message is under way, so that the
-// charge counts from its arrival.
-func (l *Limiter) Slack(account string, underway time.Duration) float64 {
+// Lend charges up to that many tokens for an admission that is decided at most underway later, and
+// returns how many. The sum over all shares never rises by it: while the message is under way a bucket
+// that would fill up is charged what it might refill, so that its level and the tokens under way together
+// stay within the burst.
+func (l *Limiter) Lend(account string, tokens float64, underway, now, wall time.Duration) (t Ticket, granted float64) {
 	e, ok := l.entries[account]
+	if !ok || !l.sharer.Check(now, wall) {
+		return Ticket{}, 0
+	}
+	l.Resize(now)
+	level := e.bucket.Level(now)
+	slack := max(0, level+e.bucket.Rate()*underway.Seconds()-e.bucket.Burst())
+	granted = min(tokens, level-slack)
+	if granted <= 0 {
+		return Ticket{}, 0
+	}
+	charge, ok := e.bucket.Take(min(level, granted+slack), now)
 	if !ok {
-		return 0
+		return Ticket{}, 0
 	}
-	return e.plan.Rate * underway.Seconds()
+	return Ticket{Account: account, Charge: charge, Tokens: granted, generation: e.generation}, granted
 }
 
 func (l *Limiter) size(e *entry, now time.Duration) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,6 +21,7 @@
 	Platform Platform
 	Callers  Callers
 	Route    Route
+	Limits   Limits
 	Engine   Engine
 	Service  Service
 }
@@ -63,6 +64,12 @@
 	Queue int
 }
 
+// Limits are the bounds that the sharing of limits relies on.
+type Limits struct {
+	Lag   time.Duration
+	Pause time.Duration
+}
+
 // Engine is the model engine beside an agent; URL is empty for an agent of a plain service.
 type Engine struct {
 	URL     string
@@ -103,25 +110,26 @@
 func Parse(name string, body []byte) (Settings, finding.Findings) {
 	r := newReader(name, body)
 	s := Settings{
-		Name:     r.text("process", "name"),
-		Domain:   r.text("process", "domain"),
-		Fleet:    Fleet{Listen: r.text("fleet", "listen"), SecretFile: r.text("fleet", "secret")},
-		Operator: r.text("operator", "listen"),
-		Platform: Platform{URL: r.text("platform", "url"), Poll: r.duration("platform", "poll")},
+		Name:     r.text(inProcess, "name"),
+		Domain:   r.text(inProcess, "domain"),
+		Fleet:    Fleet{Listen: r.text(inFleet, "listen"), SecretFile: r.text(inFleet, "secret")},
+		Operator: r.text(inOperator, "listen"),
+		Platform: Platform{URL: r.text(inPlatform, "url"), Poll: r.duration(inPlatform, "poll")},
 		Callers:  r.callers(),
 		Route:    r.route(),
+		Limits:   Limits{Lag: r.duration(inLimits, "lag"), Pause: r.duration(inLimits, "pause")},
 		Engine:   r.engine(),
 		Service: Service{
-			URL:    r.text("service", "url"),
-			Window: r.duration("service", "window"),
-			Keys:   int(r.number("service", "keys")),
+			URL:    r.text(inService, "url"),
+			Window: r.duration(inService, "window"),
+			Keys:   int(r.number(inService, "keys")),
 		},
 	}
-	r.require("process", "name", s.Name)
-	r.require("fleet", "secret", s.Fleet.SecretFile)
-	r.require("platform", "url", s.Platform.URL)
+	r.require(inProcess, "name", s.Name)
+	r.require(inFleet, "secret", s.Fleet.SecretFile)
+	r.require(inPlatform, "url", s.Platform.URL)
 	if (s.Callers.Cert == "") != (s.Callers.Key == "") {
-		r.section("callers").Fault("cert", "cert and key go together")
+		r.section(inCallers).Fault("cert", "cert and key go together")
 	}
 	return s, r.findings()
 }
@@ -197,32 +205,32 @@
 
 func (r *reader) callers() Callers {
 	return Callers{
-		Listen: r.text("callers", "listen"),
-		Cert:   r.text("callers", "cert"),
-		Key:    r.text("callers", "key"),
-		Body:   int64(r.number("callers", "body")),
-		Header: int(r.number("callers", "header")),
-		Slow:   r.duration("callers", "slow"),
+		Listen: r.text(inCallers, "listen"),
+		Cert:   r.text(inCallers, "cert"),
+		Key:    r.text(inCallers, "key"),
+		Body:   int64(r.number(inCallers, "body")),
+		Header: int(r.number(inCallers, "header")),
+		Slow:   r.duration(inCallers, "slow"),
 	}
 }
 
 func (r *reader) route() Route {
 	return Route{
-		Policy:  r.text("route", "policy"),
-		First:   r.duration("route", "first"),
-		Prefill: r.number("route", "prefill"),
-		Piece:   int(r.number("route", "piece")),
-		Queue:   int(r.number("route", "queue")),
+		Policy:  r.text(inRoute, "policy"),
+		First:   r.duration(inRoute, "first"),
+		Prefill: r.number(inRoute, "prefill"),
+		Piece:   int(r.number(inRoute, "piece")),
+		Queue:   int(r.number(inRoute, "queue")),
 	}
 }
 
 func (r *reader) engine() Engine {
 	return Engine{
-		URL:     r.text("engine", "url"),
-		Slots:   int(r.number("engine", "slots")),
-		Pieces:  int(r.number("engine", "pieces")),
-		Reserve: r.duration("engine", "reserve"),
-		Fence:   r.bool("engine", "fence"),
+		URL:     r.text(inEngine, "url"),
+		Slots:   int(r.number(inEngine, "slots")),
+		Pieces:  int(r.number(inEngine, "pieces")),
+		Reserve: r.duration(inEngine, "reserve"),
+		Fence:   r.bool(inEngine, "fence"),
 	}
 }
 
--- a/service/fleet/client.go
+++ b/service/fleet/client.go
@@ -18,6 +18,9 @@
 
 const dialTimeout = 2 * time.Second
 
+// KeepAlive finds a peer that is gone without a word within about three seconds.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // ErrNotSent means that the request certainly did not reach the peer.
 var ErrNotSent = errors.New("request was not sent")
 
@@ -90,7 +93,7 @@
 	if c.conn != nil {
 		return c.conn, nil
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: KeepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "dial: %v", err)
@@ -100,7 +103,7 @@
 		_ = raw.Close()
 		return nil, errors.Wrapf(ErrNotSent, "handshake: %v", err)
 	}
-	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(secure), c)
+	conn := jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(secure), c, quiet)
 	if err := conn.Call(ctx, MethodHello, Hello{Incarnation: c.incarnation}, nil); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrapf(ErrNotSent, "hello: %v", err)
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -201,16 +201,16 @@
 	AgeMillis   int64    `json:"age"`
 }
 
-// Debit asks another gateway to charge its share of an account's limit.
+// Debit asks another gateway to charge up to that many tokens to its share of an account's limit.
 type Debit struct {
 	Account string  `json:"account"`
 	Tokens  float64 `json:"tokens"`
 }
 
-// DebitAnswer tells whether the debit was charged.
+// DebitAnswer tells how many tokens were charged; zero for none.
 type DebitAnswer struct {
-	Granted bool   `json:"granted"`
-	Grant   uint64 `json:"grant,omitempty"`
+	Tokens float64 `json:"tokens"`
+	Grant  uint64  `json:"grant,omitempty"`
 }
 
 // Settle returns the unused part of a debit to the gateway that charged it.
--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -5,6 +5,8 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"strconv"
 	"sync"
@@ -19,6 +21,9 @@
 // maxMessage bounds one message in bytes.
 const maxMessage = 8 << 20
 
+// quiet keeps the library from logging each connection that ends; callers see the error.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Peer is the process at the other end of a connection.
 type Peer struct {
 	// Name comes from the verified certificate.
@@ -104,7 +109,7 @@
 	peer := &Peer{Name: credential.PeerName(secure.ConnectionState()), handler: s.handler, sequence: s.sequence.Add(1)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	peer.Conn = jsonrpc2.NewConn(ctx, newStream(secure), peer)
+	peer.Conn = jsonrpc2.NewConn(ctx, newStream(secure), peer, quiet)
 	<-peer.Conn.DisconnectNotify()
 	peer.gone.Store(true)
 	s.handler.Gone(peer)
--- /dev/null
+++ b/standin/assembler/assembler.go
@@ -0,0 +1,331 @@
+// Package assembler starts a whole fleet in one process: stand-ins, agents and gateways on loopback
+// ports. It is what the demo and the tests run on.
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/agent"
+	"github.com/pistachiovane/pistachiovane/gateway"
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+	"github.com/pistachiovane/pistachiovane/pkg/settings"
+	wire "github.com/pistachiovane/pistachiovane/service/platform"
+	"github.com/pistachiovane/pistachiovane/standin/engine"
+	"github.com/pistachiovane/pistachiovane/standin/model"
+	"github.com/pistachiovane/pistachiovane/standin/plain"
+	"github.com/pistachiovane/pistachiovane/standin/platform"
+)
+
+const readyPoll = 10 * time.Millisecond
+
+// Options are the sizes of a fleet.
+type Options struct {
+	Gateways int
+	Prefills int
+	Decodes  int
+	Plains   int
+	Domains  []string
+	Model    string
+	Service  string
+	Accounts []Account
+	// Speed makes the engines faster than real time.
+	Speed  float64
+	Engine model.Settings
+	// Lag and Pause are the bounds of the sharing of limits.
+	Lag   time.Duration
+	Pause time.Duration
+	Log   *log.Logger
+}
+
+// DefaultOptions returns the fleet of the demo.
+func DefaultOptions() Options {
+	return Options{
+		Gateways: 2, Prefills: 3, Decodes: 3, Plains: 3,
+		Domains: []string{"a", "b", "c"}, Model: "drafting", Service: "bookings",
+		Accounts: []Account{
+			{Name: "studio", Key: "studio-key", Rate: 60000, Burst: 120000, Weight: 2},
+			{Name: "tutor", Key: "tutor-key", Rate: 30000, Burst: 60000, Weight: 1},
+			{Name: "potter", Key: "potter-key", Rate: 15000, Burst: 30000, Weight: 1},
+		},
+		Speed: 1, Engine: model.DefaultSettings(),
+		Lag: 200 * time.Millisecond, Pause: time.Second,
+		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+	}
+}
+
+// Node is one process of the fleet.
+type Node struct {
+	Name string
+	// Engine and Plain are what stands behind an agent; one of them is nil.
+	Engine *engine.Engine
+	Plain  *plain.Plain
+	Agent  *agent.Agent
+	// Gateway and Callers are set for a gateway.
+	Gateway *gateway.Gateway
+	Callers string
+
+	vm     wire.VM
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	options  Options
+	secret   []byte
+	Platform *platform.Platform
+	url      string
+	ctx      context.Context
+	stop     context.CancelFunc
+	wg       sync.WaitGroup
+	client   *http.Client
+	Gateways []*Node
+	Agents   []*Node
+}
+
+// New starts a fleet and returns once its gateways are ready. It fails when a port can't be opened or the
+// context ends first.
+func New(ctx context.Context, o Options) (*Fleet, error) {
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	f := &Fleet{
+		options: o, secret: []byte("stand-in fleet secret"), Platform: platform.New(),
+		ctx: inner, stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	if err := f.Ready(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Close stops everything and waits for it.
+func (f *Fleet) Close() {
+	f.stop()
+	f.wg.Wait()
+	f.client.CloseIdleConnections()
+}
+
+// Ready waits until every gateway is ready; it fails when the context ends first.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for _, g := range f.Gateways {
+		for !g.Gateway.Ready() {
+			select {
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "gateway %s is not ready", g.Name)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// PlatformURL returns the base URL of the platform stand-in.
+func (f *Fleet) PlatformURL() string {
+	return f.url
+}
+
+// Stop kills a process: its connections break and what it held in memory is lost.
+func (f *Fleet) Stop(n *Node) {
+	n.cancel()
+	<-n.done
+}
+
+// Remove takes a process off the VM list.
+func (f *Fleet) Remove(n *Node) {
+	f.edit(func(vms []wire.VM) []wire.VM {
+		var out []wire.VM
+		for _, v := range vms {
+			if v.ID != n.Name {
+				out = append(out, v)
+			}
+		}
+		return out
+	})
+}
+
+// Leave marks a process as leaving in the VM list.
+func (f *Fleet) Leave(n *Node) {
+	f.edit(func(vms []wire.VM) []wire.VM {
+		for i := range vms {
+			if vms[i].ID == n.Name {
+				vms[i].Leaving = true
+			}
+		}
+		return vms
+	})
+}
+
+// AddGateway starts one more gateway and lists it.
+func (f *Fleet) AddGateway(name string) (*Node, error) {
+	n, err := f.startGateway(name, len(f.Gateways))
+	if err != nil {
+		return nil, err
+	}
+	f.Gateways = append(f.Gateways, n)
+	f.edit(func(vms []wire.VM) []wire.VM {
+		for i := range vms {
+			if vms[i].ID == name {
+				vms[i] = n.vm
+				return vms
+			}
+		}
+		return append(vms, n.vm)
+	})
+	return n, nil
+}
+
+func (f *Fleet) edit(change func([]wire.VM) []wire.VM) {
+	f.Platform.SetVMs(change(append([]wire.VM(nil), f.Platform.VMs().VMs...)))
+}
+
+func (f *Fleet) start() error {
+	listener, err := f.serveHTTP(f.Platform.Handler())
+	if err != nil {
+		return err
+	}
+	f.url = listener
+	f.Platform.Publish("plans", 1, PlansText(1, f.options.Accounts))
+	f.Platform.Publish("uses", 1, UsesText(1, f.options.Model, f.options.Service))
+	roles := []struct {
+		role  endpoint.Role
+		count int
+	}{{endpoint.Prefill, f.options.Prefills}, {endpoint.Decode, f.options.Decodes}, {endpoint.Plain, f.options.Plains}}
+	for _, r := range roles {
+		for i := range r.count {
+			if err := f.startEndpoint(r.role, i); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range f.options.Gateways {
+		n, err := f.startGateway(fmt.Sprintf("gw-%d", i+1), i)
+		if err != nil {
+			return err
+		}
+		f.Gateways = append(f.Gateways, n)
+	}
+	vms := make([]wire.VM, 0, len(f.Agents)+len(f.Gateways))
+	for _, n := range append(append([]*Node(nil), f.Agents...), f.Gateways...) {
+		vms = append(vms, n.vm)
+	}
+	f.Platform.SetVMs(vms)
+	return nil
+}
+
+func (f *Fleet) domain(i int) string {
+	return f.options.Domains[i%len(f.options.Domains)]
+}
+
+// startEndpoint starts an endpoint with the agent beside it.
+func (f *Fleet) startEndpoint(role endpoint.Role, i int) error {
+	s := settings.Default()
+	s.Name = fmt.Sprintf("%s-%d", role, i+1)
+	s.Domain = f.domain(i)
+	s.Fleet.Secret = f.secret
+	n := &Node{Name: s.Name}
+	ctx, cancel := context.WithCancel(f.ctx)
+	n.cancel = cancel
+	what := f.options.Model
+	var handler http.Handler
+	if role == endpoint.Plain {
+		n.Plain = plain.New(time.Millisecond)
+		handler = n.Plain.Handler()
+		what = f.options.Service
+	} else {
+		n.Engine = engine.New(f.options.Engine, f.options.Speed, i%2 == 0, f.client)
+		handler = n.Engine.Handler()
+		f.wg.Go(func() { _ = n.Engine.Serve(ctx) })
+	}
+	url, err := f.serveHTTP(handler)
+	if err != nil {
+		return err
+	}
+	if role == endpoint.Plain {
+		s.Service.URL = url
+	} else {
+		s.Engine.URL = url
+		s.Engine.Slots, s.Engine.Pieces = f.options.Engine.Slots, f.options.Engine.Pieces
+	}
+	return f.startAgent(ctx, n, s, wire.VM{Role: role.String(), Model: what, Slots: f.options.Engine.Slots})
+}
+
+func (f *Fleet) startAgent(ctx context.Context, n *Node, s settings.Settings, vm wire.VM) error {
+	l, err := listen()
+	if err != nil {
+		return err
+	}
+	n.Agent, err = agent.New(s, l, f.options.Log)
+	if err != nil {
+		return err
+	}
+	n.vm = vm
+	n.vm.ID, n.vm.Kind, n.vm.Address, n.vm.Domain = n.Name, wire.KindEndpoint, l.Addr().String(), s.Domain
+	f.run(ctx, n, n.Agent.Serve)
+	f.Agents = append(f.Agents, n)
+	return nil
+}
+
+func (f *Fleet) startGateway(name string, i int) (*Node, error) {
+	s := settings.Default()
+	s.Name, s.Domain = name, f.domain(i)
+	s.Fleet.Secret = f.secret
+	s.Platform.URL = f.url
+	s.Platform.Poll = 100 * time.Millisecond
+	s.Limits = settings.Limits{Lag: f.options.Lag, Pause: f.options.Pause}
+	s.Route.Prefill = f.options.Engine.PrefillRate * f.options.Speed
+	callers, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	g, err := gateway.New(s, gateway.Listeners{Callers: callers, Fleet: peers}, f.options.Log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	n := &Node{Name: name, Gateway: g, Callers: "http://" + callers.Addr().String(), cancel: cancel}
+	n.vm = wire.VM{ID: name, Kind: wire.KindGateway, Address: peers.Addr().String(), Domain: s.Domain}
+	f.run(ctx, n, g.Serve)
+	return n, nil
+}
+
+func (f *Fleet) run(ctx context.Context, n *Node, serve func(context.Context) error) {
+	n.done = make(chan struct{})
+	f.wg.Go(func() {
+		defer close(n.done)
+		_ = serve(ctx)
+	})
+}
+
+// serveHTTP serves a stand-in on a loopback port until the fleet closes and returns its base URL.
+func (f *Fleet) serveHTTP(h http.Handler) (string, error) {
+	l, err := listen()
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	context.AfterFunc(f.ctx, func() { _ = server.Close() })
+	f.wg.Go(func() { _ = server.Serve(l) })
+	return "http://" + l.Addr().String(), nil
+}
+
+func listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return l, errors.Wrap(err, "listen")
+}
--- /dev/null
+++ b/standin/assembler/assembler_test.go
@@ -0,0 +1,146 @@
+package assembler
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/pistachiovane/pistachiovane/standin/engine"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func startFleet(t *testing.T, change func(*Options)) *Fleet {
+	t.Helper()
+	o := DefaultOptions()
+	o.Speed = 4
+	if change != nil {
+		change(&o)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f, err := New(ctx, o)
+	if err != nil {
+		t.Fatalf("start fleet: %v", err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func post(t *testing.T, url, key, body string, headers ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatalf("post: %v", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatalf("read: %v", err)
+	}
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
+}
+
+func wantAnswer(prompt string, most int) string {
+	var b strings.Builder
+	for i := range engine.AnswerLength(prompt, most) {
+		b.WriteString(engine.TokenText(prompt, i))
+	}
+	return b.String()
+}
+
+func TestCompletionArrivesWhole(t *testing.T) {
+	f := startFleet(t, nil)
+	prompt := strings.Repeat("throw a bowl ", 50)
+	body, _ := json.Marshal(map[string]any{"model": "drafting", "prompt": prompt, "max_tokens": 40})
+	r := post(t, f.Gateways[0].Callers+"/v1/completions", "studio-key", string(body))
+	if r.status != http.StatusOK {
+		t.Fatalf("status %d: %s", r.status, r.body)
+	}
+	var got struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(r.body), &got); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(wantAnswer(prompt, 40), got.Choices[0].Text); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+func TestStreamArrivesInOrder(t *testing.T) {
+	f := startFleet(t, nil)
+	r := post(t, f.Gateways[1].Callers+"/v1/chat/completions", "tutor-key",
+		`{"model":"drafting","messages":[{"role":"user","content":"hello"}],"max_tokens":20,"stream":true}`)
+	var text strings.Builder
+	for _, line := range strings.Split(r.body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var event struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			t.Fatalf("event %q: %v", data, err)
+		}
+		text.WriteString(event.Choices[0].Delta.Content)
+	}
+	if diff := cmp.Diff(wantAnswer("user: hello\n", 20), text.String()); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	if !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
+		t.Errorf("stream does not end with [DONE]: %q", r.body)
+	}
+}
+
+func TestBookingRunsOnceForOneKey(t *testing.T) {
+	f := startFleet(t, nil)
+	for i := range 4 {
+		r := post(t, f.Gateways[i%2].Callers+"/v1/services/bookings/pay", "studio-key", `{"amount":10}`, "Idempotency-Key", "k1")
+		if r.status != http.StatusOK {
+			t.Fatalf("call %d: status %d: %s", i, r.status, r.body)
+		}
+	}
+	runs := 0
+	for _, n := range f.Agents {
+		if n.Plain != nil {
+			runs += len(n.Plain.Runs())
+		}
+	}
+	if runs != 1 {
+		t.Errorf("the booking ran %d times, want 1", runs)
+	}
+}
--- /dev/null
+++ b/standin/client/client.go
@@ -0,0 +1,172 @@
+// Package client is a caller of the gateway for the demo, the load tool and the tests.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Client calls one gateway with one key.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// New returns a client of the gateway at the base URL.
+func New(base, key string, client *http.Client) *Client {
+	return &Client{base: base, key: key, http: client}
+}
+
+// Result is what a caller received.
+type Result struct {
+	Status int
+	// Code and Run are the reason and whether anything ran, of a refusal.
+	Code string
+	Run  string
+	Text string
+	// First is the time to the first token of a stream.
+	First time.Duration
+	// Gaps are the times between its tokens.
+	Gaps []time.Duration
+	// Whole is set when a stream came to its end.
+	Whole bool
+}
+
+// Completion is a prompt.
+type Completion struct {
+	Model  string `json:"model"`
+	Prompt string `json:"prompt"`
+	Most   int    `json:"max_tokens"`
+	Stream bool   `json:"stream"`
+	Draft  bool   `json:"draft"`
+}
+
+// Complete sends a prompt and streams the answer. It fails when the connection does.
+func (c *Client) Complete(ctx context.Context, p Completion) (Result, error) {
+	p.Stream = true
+	start := time.Now()
+	resp, err := c.send(ctx, http.MethodPost, "/v1/completions", "", p)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp), nil
+	}
+	return readStream(resp.Body, start)
+}
+
+// Call runs a call of a plain service; an empty key sends none. It fails when the connection does.
+func (c *Client) Call(ctx context.Context, service, name, key string, body any) (Result, error) {
+	return c.plain(ctx, http.MethodPost, "/v1/services/"+service+"/"+name, key, body)
+}
+
+// Read reads from a plain service. It fails when the connection does.
+func (c *Client) Read(ctx context.Context, service, name string) (Result, error) {
+	return c.plain(ctx, http.MethodGet, "/v1/services/"+service+"/"+name, "", nil)
+}
+
+func (c *Client) plain(ctx context.Context, method, path, key string, body any) (Result, error) {
+	resp, err := c.send(ctx, method, path, key, body)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp), nil
+	}
+	var answer struct {
+		Result string `json:"result"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&answer)
+	return Result{Status: resp.StatusCode, Text: answer.Result, Whole: err == nil}, errors.Wrap(err, "decode answer")
+}
+
+func (c *Client) send(ctx context.Context, method, path, key string, body any) (*http.Response, error) {
+	var reader io.Reader = http.NoBody
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode")
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.http.Do(req)
+	return resp, errors.Wrap(err, "send")
+}
+
+type errorBody struct {
+	Error struct {
+		Code string `json:"code"`
+		Run  string `json:"run"`
+	} `json:"error"`
+}
+
+func refusal(resp *http.Response) Result {
+	var body errorBody
+	_ = json.NewDecoder(resp.Body).Decode(&body)
+	return Result{Status: resp.StatusCode, Code: body.Error.Code, Run: body.Error.Run}
+}
+
+type event struct {
+	errorBody
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+}
+
+func readStream(body io.Reader, start time.Time) (Result, error) {
+	r := Result{Status: http.StatusOK}
+	var text strings.Builder
+	last := time.Time{}
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := strings.CutPrefix(scanner.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.Whole = true
+			break
+		}
+		var e event
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return r, errors.Wrap(err, "decode event")
+		}
+		if e.Error.Code != "" {
+			r.Code, r.Run = e.Error.Code, e.Error.Run
+			continue
+		}
+		if len(e.Choices) == 0 || e.Choices[0].Text == "" {
+			continue
+		}
+		now := time.Now()
+		if last.IsZero() {
+			r.First = now.Sub(start)
+		} else {
+			r.Gaps = append(r.Gaps, now.Sub(last))
+		}
+		last = now
+		text.WriteString(e.Choices[0].Text)
+	}
+	r.Text = text.String()
+	return r, errors.Wrap(scanner.Err(), "read stream")
+}
--- a/standin/model/engine.go
+++ b/standin/model/engine.go
@@ -171,8 +171,7 @@
 	return e.running != nil && e.running.id == id
 }
 
-// Streams, Backlog, FreePieces and Worked return the load: running streams, prefill tokens not yet
-// done, free KV memory, and all prompt tokens prefilled so far.
+// Streams returns how many streams run.
 func (e *Engine) Streams() int { return len(e.streams) }
 
 // Backlog returns the prefill tokens not yet done.
