Set the peer's connection in order with its hello

Cause: the race detector saw the connection written after its reader had started. Change: the hello, always first, sets it; any other first message closes the connection. Conclusion: go test -race of the fleet passes.

--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -30,7 +30,8 @@
 	Name string
 	// Incarnation comes from hello; empty before it.
 	Incarnation string
-	Conn        *jsonrpc2.Conn
+	// conn is set by hello.
+	conn        *jsonrpc2.Conn
 	handler     Handler
 	// sequence is unique among the connections of the server.
 	sequence uint64
@@ -50,7 +51,7 @@
 
 // Notify sends a notification to the peer.
 func (p *Peer) Notify(ctx context.Context, method string, params any) error {
-	return errors.Wrapf(p.Conn.Notify(ctx, method, params), "notify %s", method)
+	return errors.Wrapf(p.conn.Notify(ctx, method, params), "notify %s", method)
 }
 
 // Handler serves the requests of peers.
@@ -109,8 +110,8 @@
 	peer := &Peer{Name: credential.PeerName(secure.ConnectionState()), handler: s.handler, sequence: s.sequence.Add(1)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	peer.Conn = jsonrpc2.NewConn(ctx, newStream(secure), peer, quiet)
-	<-peer.Conn.DisconnectNotify()
+	rpc := jsonrpc2.NewConn(ctx, newStream(secure), peer, quiet)
+	<-rpc.DisconnectNotify()
 	peer.gone.Store(true)
 	s.handler.Gone(peer)
 }
@@ -130,18 +131,20 @@
 	}
 }
 
-// Handle serves one request of the peer; it is called by jsonrpc2. The hello is handled in order,
-// all else on a goroutine of its own.
+// Handle serves one request of the peer; it is called by jsonrpc2. The hello comes first and is handled
+// in order, all else on a goroutine of its own.
 func (p *Peer) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Method == MethodHello {
-		var hello Hello
-		if err := decode(req.Params, &hello); err == nil {
-			p.Incarnation = hello.Incarnation
-		}
-		_ = conn.Reply(ctx, req.ID, struct{}{})
+	if p.conn != nil && req.Method != MethodHello {
+		go p.serve(ctx, conn, req)
+		return
+	}
+	var hello Hello
+	if err := decode(req.Params, &hello); err != nil || req.Method != MethodHello || p.conn != nil {
+		_ = conn.Close()
 		return
 	}
-	go p.serve(ctx, conn, req)
+	p.Incarnation, p.conn = hello.Incarnation, conn
+	_ = conn.Reply(ctx, req.ID, struct{}{})
 }
 
 func (p *Peer) serve(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
