--- a/gateway/admitter/admitter.go
+++ b/gateway/admitter/admitter.go
@@ -71,7 +71,6 @@
 	Borrowed uint64 `json:"borrowed"`
 	Refused  uint64 `json:"refused"`
 	Lent     uint64 `json:"lent"`
-	Unsure   uint64 `json:"unsure"`
 }
 
 // New returns an admitter; the lender must be given with Lend before the first request.
@@ -125,7 +124,9 @@
 	a.mu.Lock()
 	ticket, verdict, wait := a.limiter.Admit(account, tokens, a.now(), wall())
 	others := a.others(account)
-	a.count(verdict)
+	if verdict == limiter.Granted {
+		a.stats.Own++
+	}
 	a.mu.Unlock()
 	switch verdict {
 	case limiter.Granted:
@@ -176,7 +177,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sharer.Observe(v, a.now())
-	a.sharer.Heard(asked.Sub(a.start))
+	if !asked.IsZero() {
+		a.sharer.Heard(asked.Sub(a.start), a.now())
+	}
 	a.limiter.Resize(a.now())
 }
 
@@ -306,15 +309,6 @@
 	return out
 }
 
-func (a *Admitter) count(v limiter.Verdict) {
-	switch v {
-	case limiter.Granted:
-		a.stats.Own++
-	case limiter.Unsure:
-		a.stats.Unsure++
-	}
-}
-
 // forget drops the oldest debits that were never settled.
 func (a *Admitter) forget() {
 	if len(a.grants) < grantLimit/2 {
--- a/gateway/server/server.go
+++ b/gateway/server/server.go
@@ -168,10 +168,6 @@
 	case limiter.Over:
 		out.Status, out.Type, out.Code = http.StatusBadRequest, typeInvalid, "size"
 		out.Message = "the request alone is larger than the plan's burst"
-	case limiter.Unsure:
-		out.Status, out.Type, out.Code = http.StatusServiceUnavailable, typeOverload, "paused"
-		out.Message = "this gateway was suspended and makes sure of its place first"
-		out.RetryAfter = time.Second
 	case limiter.Unknown:
 		out.Status, out.Code, out.Message = http.StatusUnauthorized, "key", "the account is not in force"
 		out.Type = typeAuth
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -31,8 +31,6 @@
 	Short
 	// Over means that the request is larger than the account's burst.
 	Over
-	// Unsure means that the process was suspended and must hear from others first.
-	Unsure
 	// Unknown means that there is no such account.
 	Unknown
 )
@@ -115,9 +113,7 @@
 	if tokens > e.plan.Burst {
 		return Ticket{}, Over, 0
 	}
-	if !l.sharer.Check(now, wall) {
-		return Ticket{}, Unsure, 0
-	}
+	l.sharer.Check(now, wall)
 	l.Resize(now)
 	charge, ok := e.bucket.Take(tokens, now)
 	if ok {
@@ -164,9 +160,10 @@
 // stay within the burst.
 func (l *Limiter) Lend(account string, tokens float64, underway, now, wall time.Duration) (t Ticket, granted float64) {
 	e, ok := l.entries[account]
-	if !ok || !l.sharer.Check(now, wall) {
+	if !ok {
 		return Ticket{}, 0
 	}
+	l.sharer.Check(now, wall)
 	l.Resize(now)
 	level := e.bucket.Level(now)
 	slack := max(0, level+e.bucket.Rate()*underway.Seconds()-e.bucket.Burst())
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -33,7 +33,7 @@
 	Incarnation uint64
 }
 
-// Message is a question or an answer between holders. Both tell all that the sender knows.
+// Message is a question or an answer between holders. Both carry the sender's newest view.
 type Message struct {
 	From Member
 	// Answer is set on answers.
@@ -43,12 +43,6 @@
 	Asked time.Duration
 	// Asker is the incarnation that asked, echoed by the answer.
 	Asker uint64
-	// Age is how long ago the sender applied the view.
-	Age time.Duration
-	// Known are the incarnations that the sender has heard of, directly.
-	Known []Member
-	// Sure is false while the sender has noticed a pause and not yet heard from anyone.
-	Sure bool
 }
 
 // Options are the bounds of a sharer.
@@ -60,14 +54,6 @@
 	Pause time.Duration
 }
 
-// answer is the latest direct answer of another holder.
-type answer struct {
-	incarnation uint64
-	version     uint64
-	// applied is the latest time, on the own clock, at which the holder can have applied the version.
-	applied time.Duration
-}
-
 // Sharer is the state of one holder. It is not safe for concurrent use.
 type Sharer struct {
 	self    Member
@@ -78,11 +64,12 @@
 	grown bool
 	// applied is when the newest view was applied.
 	applied time.Duration
-	answers map[string]answer
-	known   map[string]uint64
-	sure    bool
-	// wokeAt is when the latest pause was noticed; only later questions make sure again.
-	wokeAt    time.Duration
+	// answers holds the others that answered for the newest view, to a question asked after it was applied.
+	answers map[string]bool
+	// wokeAt is when the latest pause was noticed; only later questions and reads count.
+	wokeAt time.Duration
+	// heardAt is when the latest read of the platform's list began.
+	heardAt   time.Duration
 	lastCheck time.Duration
 	lastWall  time.Duration
 	checked   bool
@@ -92,7 +79,7 @@
 
 // New returns a holder without any share.
 func New(self Member, o Options) *Sharer {
-	return &Sharer{self: self, options: o, answers: make(map[string]answer), known: make(map[string]uint64), sure: true}
+	return &Sharer{self: self, options: o, answers: make(map[string]bool)}
 }
 
 // Generation rises whenever shares may have changed.
@@ -143,26 +130,30 @@
 	s.tryGrow(now)
 }
 
-// Heard records that the platform's list was read after the latest pause: asked is when the read began.
-func (s *Sharer) Heard(asked time.Duration) {
-	s.becomeSure(asked)
+// Heard records that the platform's list was read: asked is when the read began.
+func (s *Sharer) Heard(asked, now time.Duration) {
+	s.heardAt = max(s.heardAt, asked)
+	s.tryGrow(now)
 }
 
-// Check tells whether the holder may use its share now. It must be called right before each use and at least
-// every half of the Pause option: a longer gap of either clock means that the process was suspended,
-// and nothing is used until another holder or the list was heard.
-func (s *Sharer) Check(now, wall time.Duration) bool {
-	if s.checked {
-		monotonic := now - s.lastCheck
-		elapsed := wall - s.lastWall
-		if monotonic > s.options.Pause || elapsed > s.options.Pause || elapsed < -s.options.Pause {
-			s.sure = false
-			s.wokeAt = now
-		}
-	}
+// Check notices pauses. It must be called right before each use of a share and at least every half of the
+// Pause option: a longer gap of either clock means that the process was suspended. Others may have
+// taken its share over since, so it begins again without any, as a new process would, and grows only
+// after the list was read so late that it can not hide that the VM was taken off meanwhile.
+func (s *Sharer) Check(now, wall time.Duration) {
+	monotonic := now - s.lastCheck
+	elapsed := wall - s.lastWall
+	paused := s.checked && (monotonic > s.options.Pause || elapsed > s.options.Pause || elapsed < -s.options.Pause)
 	s.checked = true
 	s.lastCheck, s.lastWall = now, wall
-	return s.sure || s.alone()
+	if !paused {
+		return
+	}
+	s.wokeAt = now
+	s.grown = false
+	s.views = s.views[max(0, len(s.views)-1):]
+	clear(s.answers)
+	s.generation++
 }
 
 // Question returns the message that asks other holders for their state.
@@ -173,7 +164,6 @@
 // Receive takes in a message; for a question it returns the answer to send back.
 func (s *Sharer) Receive(m Message, now time.Duration) (reply Message, answered bool) {
 	s.Observe(m.View, now)
-	s.learn(m)
 	if !m.Answer {
 		reply = s.message(now)
 		reply.Answer = true
@@ -183,7 +173,7 @@
 	if m.Asker != s.self.Incarnation || m.Asked > now {
 		return Message{}, false
 	}
-	s.accept(m, now)
+	s.accept(m)
 	s.tryGrow(now)
 	return Message{}, false
 }
@@ -193,79 +183,34 @@
 	s.tryGrow(now)
 }
 
-// alone tells whether nobody else is listed who could have taken a share over.
-func (s *Sharer) alone() bool {
-	v := s.View()
-	return len(v.Members) == 1 && v.Has(s.self.Name)
-}
-
 func (s *Sharer) message(now time.Duration) Message {
-	m := Message{From: s.self, View: s.View(), Asked: now, Age: now - s.applied, Sure: s.sure}
-	for name, incarnation := range s.known {
-		m.Known = append(m.Known, Member{Name: name, Incarnation: incarnation})
-	}
-	slices.SortFunc(m.Known, func(a, b Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return m
-}
-
-// learn forgets the answers of holders that someone has met in another incarnation: they have to be
-// asked again, because the new incarnation may have grown under an older view.
-func (s *Sharer) learn(m Message) {
-	s.known[m.From.Name] = m.From.Incarnation
-	s.distrust(m.From)
-	for _, k := range m.Known {
-		s.distrust(k)
-	}
-}
-
-func (s *Sharer) distrust(m Member) {
-	if a, ok := s.answers[m.Name]; ok && a.incarnation != m.Incarnation {
-		delete(s.answers, m.Name)
-	}
+	return Message{From: s.self, View: s.View(), Asked: now}
 }
 
 // accept keeps a direct answer to a question that was asked after the present view was applied.
-func (s *Sharer) accept(m Message, now time.Duration) {
-	if m.Sure && m.View.Has(s.self.Name) {
-		s.becomeSure(m.Asked)
-	}
-	if m.View.Version != s.View().Version || m.Asked < s.applied {
+func (s *Sharer) accept(m Message) {
+	if m.View.Version != s.View().Version || m.Asked < max(s.applied, s.wokeAt) {
 		return
 	}
-	s.answers[m.From.Name] = answer{incarnation: m.From.Incarnation, version: m.View.Version, applied: now - m.Age}
+	s.answers[m.From.Name] = true
 }
 
-func (s *Sharer) becomeSure(asked time.Duration) {
-	if !s.sure && asked >= s.wokeAt {
-		s.sure = true
-	}
-}
-
-// tryGrow uses the whole target once every other holder has answered for the newest view and those
-// that were taken off the list are certainly out.
+// tryGrow uses the whole target once every other holder has answered for the newest view, those that were
+// taken off the list are certainly out, and the list was read again so late that it can not hide a
+// newer view that was there when this one was applied.
 func (s *Sharer) tryGrow(now time.Duration) {
 	v := s.View()
-	if s.Grown() || !v.Has(s.self.Name) || !s.sure {
+	if s.Grown() || !v.Has(s.self.Name) {
+		return
+	}
+	since := max(s.applied, s.wokeAt)
+	if s.heardAt < since+s.options.Lag || now < since+s.options.Lag+s.options.Pause {
 		return
 	}
-	earliest, latest := s.applied, s.applied
 	for _, name := range v.Members {
-		if name == s.self.Name {
-			continue
-		}
-		a, ok := s.answers[name]
-		if !ok || a.version != v.Version {
+		if name != s.self.Name && !s.answers[name] {
 			return
 		}
-		earliest, latest = min(earliest, a.applied), max(latest, a.applied)
-	}
-	if now < earliest+s.options.Lag+s.options.Pause || now < latest+s.options.Pause {
-		return
 	}
 	s.views = []View{v}
 	s.grown = true
--- /dev/null
+++ b/pkg/sharer/sharer_test.go
@@ -0,0 +1,97 @@
+package sharer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	lag   = 3 * time.Second
+	pause = time.Second
+)
+
+func half(v View, _ string) float64 { return 1 / float64(len(v.Members)) }
+
+func newHolder(name string, incarnation uint64) *Sharer {
+	return New(Member{Name: name, Incarnation: incarnation}, Options{Lag: lag, Pause: pause})
+}
+
+func wantShare(t *testing.T, s *Sharer, want float64) {
+	t.Helper()
+	if got := s.Share(half); got != want {
+		t.Errorf("share %v, want %v", got, want)
+	}
+}
+
+// TestRestartedHolderIgnoresStaleList is the schedule of seed 22911 of the model: a holder that starts again
+// hears of an old list, on which it stood alone, from a late message.
+func TestRestartedHolderIgnoresStaleList(t *testing.T) {
+	s := newHolder("g2", 7)
+	s.Receive(Message{From: Member{Name: "g1", Incarnation: 2}, View: View{Version: 3, Members: []string{"g2"}}}, 0)
+	s.Check(0, 0)
+	for now := time.Duration(0); now <= 10*time.Second; now += pause / 2 {
+		s.Check(now, now)
+		s.Tick(now)
+	}
+	wantShare(t, s, 0)
+}
+
+// TestWokenHolderReadsTheListLate is the schedule of seed 38922 of the model: a suspended holder wakes after its VM
+// was taken off, and the others that answer it know no better.
+func TestWokenHolderReadsTheListLate(t *testing.T) {
+	s := newHolder("g0", 1)
+	v := View{Version: 1, Members: []string{"g0", "g1"}}
+	s.Observe(v, 0)
+	s.Check(0, 0)
+	woke := 10 * time.Second
+	s.Check(woke, woke)
+	s.Heard(woke, woke)
+	answer := Message{From: Member{Name: "g1", Incarnation: 1}, Answer: true, View: v, Asked: woke, Asker: 1}
+	s.Receive(answer, woke)
+	for now := woke; now <= woke+10*time.Second; now += pause / 2 {
+		s.Check(now, now)
+		s.Tick(now)
+	}
+	wantShare(t, s, 0)
+	later := woke + 10*time.Second
+	s.Heard(later, later)
+	wantShare(t, s, 0.5)
+}
+
+// TestShrinksAtOnce shows that a newer list shrinks the share without any answer.
+func TestShrinksAtOnce(t *testing.T) {
+	s := newHolder("g0", 1)
+	s.Observe(View{Version: 1, Members: []string{"g0"}}, 0)
+	s.Check(0, 0)
+	for now := time.Duration(0); now <= 5*time.Second; now += pause / 2 {
+		s.Check(now, now)
+		s.Heard(now, now)
+	}
+	wantShare(t, s, 1)
+	s.Observe(View{Version: 2, Members: []string{"g0", "g1"}}, 5*time.Second)
+	wantShare(t, s, 0.5)
+	s.Observe(View{Version: 1, Members: []string{"g0"}}, 6*time.Second)
+	wantShare(t, s, 0.5)
+}
+
+// Example shows two holders that come to share a limit.
+func Example() {
+	a, b := newHolder("a", 1), newHolder("b", 1)
+	view := View{Version: 1, Members: []string{"a", "b"}}
+	for now := time.Duration(0); now <= lag+2*pause; now += pause / 2 {
+		for _, pair := range [][2]*Sharer{{a, b}, {b, a}} {
+			self, other := pair[0], pair[1]
+			self.Check(now, now)
+			self.Observe(view, now)
+			self.Heard(now, now)
+			if answer, ok := other.Receive(self.Question(now), now); ok {
+				self.Receive(answer, now)
+			}
+			self.Tick(now)
+		}
+	}
+	equal := func(v View, _ string) float64 { return 1 / float64(len(v.Members)) }
+	fmt.Println(a.Share(equal), b.Share(equal))
+	// Output: 0.5 0.5
+}
--- a/service/fleet/convert.go
+++ b/service/fleet/convert.go
@@ -9,29 +9,21 @@
 
 // ShareFrom converts a message of the sharer to its wire form.
 func ShareFrom(m sharer.Message) Share {
-	s := Share{
+	return Share{
 		Name: m.From.Name, Incarnation: m.From.Incarnation, Answer: m.Answer,
 		View: m.View.Version, Members: m.View.Members,
-		Asked: m.Asked, Asker: m.Asker, Age: m.Age, Sure: m.Sure,
+		Asked: m.Asked, Asker: m.Asker,
 	}
-	for _, k := range m.Known {
-		s.Known = append(s.Known, Known(k))
-	}
-	return s
 }
 
 // Message converts a message of the sharer from its wire form. name is that of the verified
 // certificate; the name in the message is not believed.
 func (s Share) Message(name string) sharer.Message {
-	m := sharer.Message{
+	return sharer.Message{
 		From: sharer.Member{Name: name, Incarnation: s.Incarnation}, Answer: s.Answer,
 		View:  sharer.View{Version: s.View, Members: s.Members},
-		Asked: s.Asked, Asker: s.Asker, Age: s.Age, Sure: s.Sure,
-	}
-	for _, k := range s.Known {
-		m.Known = append(m.Known, sharer.Member(k))
+		Asked: s.Asked, Asker: s.Asker,
 	}
-	return m
 }
 
 // BlamesFrom converts crash records to their wire form.
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -176,15 +176,6 @@
 	Members     []string      `json:"members"`
 	Asked       time.Duration `json:"asked"`
 	Asker       uint64        `json:"asker,omitempty"`
-	Age         time.Duration `json:"age"`
-	Known       []Known       `json:"known,omitempty"`
-	Sure        bool          `json:"sure,omitempty"`
-}
-
-// Known is an incarnation that the sender has heard from.
-type Known struct {
-	Name        string `json:"name"`
-	Incarnation uint64 `json:"incarnation"`
 }
 
 // List is one version of a list.
--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -31,8 +31,8 @@
 	// Incarnation comes from hello; empty before it.
 	Incarnation string
 	// conn is set by hello.
-	conn        *jsonrpc2.Conn
-	handler     Handler
+	conn    *jsonrpc2.Conn
+	handler Handler
 	// sequence is unique among the connections of the server.
 	sequence uint64
 	gone     atomic.Bool
