Leave failed endpoints alone and pause policies that look at nothing

The baselines turned in zero time between full endpoints. Change: a crashed or unreachable endpoint is left alone for 250 ms to 4 s; unreachable is no retry; a policy without knowledge waits 20 ms after a full answer.

--- a/cmd/pistachiovane/cmds/load.go
+++ b/cmd/pistachiovane/cmds/load.go
@@ -18,7 +18,7 @@
 	Seed     uint64        `arg:"--seed" default:"1" help:"seed of the requests and faults"`
 	JSON     bool          `arg:"--json" help:"print only one JSON object on standard output"`
 	Load     float64       `arg:"--load" default:"0.9" help:"offered load as a share of the fleet's capacity"`
-	For      time.Duration `arg:"--for" default:"60s" help:"how long requests arrive, in virtual time"`
+	For      time.Duration `arg:"--for" default:"300s" help:"how long requests arrive, in virtual time"`
 	Policies string        `arg:"--policies" default:"probe" help:"policies to run with the same seed: probe, leastloaded, roundrobin, random, late, split"`
 	Faults   string        `arg:"--faults" default:"none" help:"none, daily or storm"`
 	Cancels  float64       `arg:"--cancels" default:"0" help:"share of callers who go early"`
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -36,7 +36,7 @@
 // Options describe a run.
 type Options struct {
 	Fleet Fleet
-	// Policy is probe, leastloaded, roundrobin, random, late or split.
+	// Policy is probe, leastloaded, roundrobin, random, late, split or naive.
 	Policy string
 	Seed   uint64
 	// Load is the offered load as a share of the fleet's capacity.
@@ -118,9 +118,12 @@
 }
 
 func policyOf(name string) (policy, error) {
-	p := policy{late: name == "late", split: name == "split"}
-	if p.late || p.split {
+	p := policy{late: name == "late" || name == "naive", split: name == "split"}
+	switch name {
+	case "late", "split":
 		name = "probe"
+	case "naive":
+		name = "random"
 	}
 	routing, ok := router.PolicyByName(name)
 	if !ok {
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// stall is the pause of a policy that does not look at load, after an endpoint without room.
+const stall = 20 * time.Millisecond
+
 // relaxAfter is how long a report of a full endpoint is believed.
 const relaxAfter = 100 * time.Millisecond
 
@@ -95,6 +98,8 @@
 	draining bool
 	// settled names the endpoint whose fresh report already leaves out the work that the present event ended.
 	settled string
+	// stallUntil keeps a policy that does not look at load from trying full endpoints without a pause.
+	stallUntil time.Duration
 }
 
 // New returns an idle dispatcher over the endpoints known to r.
@@ -182,6 +187,7 @@
 	case Reserved:
 		d.reserved(j, now)
 	case Full:
+		d.stallUntil = now + stall
 		d.requeue(j)
 	case Unreachable, Lost, Crashed:
 		d.failed(j, e.Kind, now)
@@ -237,6 +243,9 @@
 
 // pump starts waiting requests while endpoints have room.
 func (d *Dispatcher) pump(now time.Duration) {
+	if now < d.stallUntil && !d.router.Informed() {
+		return
+	}
 	for {
 		j, _, ok := d.queue.Peek()
 		if !ok {
@@ -388,12 +397,21 @@
 	if j.phase == prefilling {
 		where = j.prefill
 	}
+	if kind != Lost {
+		d.router.Failed(where, now)
+	}
 	if kind == Crashed {
 		d.poison.Crashed(j.Fingerprint, where, now)
 		j.suspect = true
 	}
 	d.free(j)
 	j.avoid = where
+	if kind == Unreachable {
+		// Nothing ran: this is no retry, and the endpoint is left alone for a while.
+		d.stallUntil = now + stall
+		d.requeue(j)
+		return
+	}
 	j.tries++
 	switch {
 	case d.poison.Refused(j.Fingerprint, now):
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -18,6 +18,10 @@
 	prefixLimit = 8192
 	// remoteCost is the score in tokens for leaving the own failure domain.
 	remoteCost = 64
+	// A failed endpoint is left alone between backoffLeast and backoffMost, doubled with each failure.
+	backoffLeast     = 250 * time.Millisecond
+	backoffMost      = 4 * time.Second
+	backoffDoublings = 4
 	// avoidCost is above every other score, so that an avoided endpoint comes last.
 	avoidCost = 1e12
 )
@@ -30,6 +34,9 @@
 	Suspect bool
 	// reported is when the load was reported last.
 	reported time.Duration
+	// downUntil is when a failed endpoint is tried again; failures counts its failures in a row.
+	downUntil time.Duration
+	failures  int
 	// drained is the time up to which the known prefill queue was worked off.
 	drained time.Duration
 	index   int
@@ -140,6 +147,11 @@
 	delete(r.views, id)
 }
 
+// Informed tells whether the policy looks at load.
+func (r *Router) Informed() bool {
+	return r.policy.Informed()
+}
+
 // View returns what is known of an endpoint, or nil.
 func (r *Router) View(id string) *View {
 	return r.views[id]
@@ -157,7 +169,19 @@
 	if v, ok := r.views[id]; ok {
 		v.Load = load
 		v.reported, v.drained = now, now
+		v.failures = 0
+	}
+}
+
+// Failed takes an endpoint that crashed or could not be reached out of choice for a while, longer with each
+// failure in a row. Without this an endpoint that fails fast would look idle and draw all work.
+func (r *Router) Failed(id string, now time.Duration) {
+	v, ok := r.views[id]
+	if !ok {
+		return
 	}
+	v.downUntil = now + min(backoffMost, backoffLeast<<min(v.failures, backoffDoublings))
+	v.failures++
 }
 
 // Relax supposes one free slot on each endpoint that was reported full longer than age ago: what other
@@ -231,7 +255,7 @@
 }
 
 func (r *Router) fits(v *View, role endpoint.Role, w Work) bool {
-	if v.Leaving {
+	if v.Leaving || (r.policy.Informed() && v.downUntil > w.Now) {
 		return false
 	}
 	if w.Suspect && v.Suspect {
