--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -38,6 +38,8 @@
 	start float64
 	// finish is the virtual finish tag of the item served last.
 	finish float64
+	// resume is the start tag after the items that were put back have been served.
+	resume float64
 	items  []entry[T]
 	index  int
 }
@@ -46,6 +48,8 @@
 	id   uint64
 	cost float64
 	item T
+	// returned marks an item that was put back; its cost was charged when it was popped first.
+	returned bool
 }
 
 // New returns an empty scheduler.
@@ -79,15 +83,20 @@
 func (s *Scheduler[T]) PushFront(c Class, account string, id uint64, item T) {
 	l := &s.lanes[c]
 	f := l.flow(account)
-	f.items = append([]entry[T]{{id: id, item: item}}, f.items...)
+	waiting := len(f.items) > 0
+	if !waiting {
+		f.resume = f.finish
+	} else if !f.items[0].returned {
+		f.resume = f.start
+	}
+	f.items = append([]entry[T]{{id: id, item: item, returned: true}}, f.items...)
+	f.start = l.vtime
 	l.length++
-	if len(f.items) == 1 {
-		f.start = l.vtime
-		heap.Push(&l.ready, f)
+	if waiting {
+		heap.Fix(&l.ready, f.index)
 		return
 	}
-	f.start = min(f.start, l.vtime)
-	heap.Fix(&l.ready, f.index)
+	heap.Push(&l.ready, f)
 }
 
 // Peek returns the item that Pop would return; ok is false when nothing waits.
@@ -150,17 +159,26 @@
 	f := l.ready[0]
 	first := f.items[0]
 	l.vtime = max(l.vtime, f.start)
-	f.finish = f.start + first.cost
+	if !first.returned {
+		f.finish = f.start + first.cost
+	}
 	l.remove(f, 0)
 	return first.item
 }
 
 // remove deletes item i of f and restores the heap; an idle flow that owes nothing is forgotten.
 func (l *lane[T]) remove(f *flow[T], i int) {
+	returned := f.items[i].returned
 	f.items = append(f.items[:i], f.items[i+1:]...)
 	l.length--
 	if len(f.items) > 0 {
-		f.start = max(f.start, f.finish)
+		switch {
+		case f.items[0].returned:
+		case returned:
+			f.start = max(f.resume, f.finish)
+		default:
+			f.start = max(f.start, f.finish)
+		}
 		heap.Fix(&l.ready, f.index)
 		return
 	}
@@ -173,7 +191,7 @@
 	}
 }
 
-// flowHeap orders flows by their start tags, ties by account for determinism.
+// flowHeap orders flows by their start tags, ties by the age of their first items.
 type flowHeap[T any] []*flow[T]
 
 func (h flowHeap[T]) Len() int { return len(h) }
@@ -182,7 +200,7 @@
 	if h[i].start != h[j].start {
 		return h[i].start < h[j].start
 	}
-	return h[i].account < h[j].account
+	return h[i].items[0].id < h[j].items[0].id
 }
 
 func (h flowHeap[T]) Swap(i, j int) {
