Let drafts that waited 70 s compete with interactive requests

Change: a draft that waited 70 s joins the interactive queue. Tried: 20 s and 45 s, which refused more interactive requests of the small accounts.

--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -30,6 +30,8 @@
 	Backlog time.Duration
 	// Queue bounds the waiting requests of each class.
 	Queue int
+	// Patience is how long a draft waits behind interactive requests.
+	Patience time.Duration
 	// Attempts bounds the attempts of one request.
 	Attempts int
 	// Late selects the baseline that chooses the decode slot after prefill.
@@ -44,6 +46,7 @@
 		FirstStep:   60 * time.Millisecond,
 		Backlog:     250 * time.Millisecond,
 		Queue:       4096,
+		Patience:    70 * time.Second,
 		Attempts:    4,
 	}
 }
@@ -51,6 +54,9 @@
 // stall is the pause of a policy that does not look at load, after an endpoint without room.
 const stall = 20 * time.Millisecond
 
+// outputCost is the work of an output token in prompt tokens.
+const outputCost = 8
+
 // relaxAfter is how long a report of a full endpoint is believed.
 const relaxAfter = 100 * time.Millisecond
 
@@ -67,6 +73,10 @@
 type job struct {
 	Request
 	phase phase
+	// lane is the class that the job waits in: its own, or interactive once it has waited for long.
+	lane scheduler.Class
+	// since is when the request was submitted.
+	since time.Duration
 	// attempt rises with each command sequence; events of earlier attempts are dropped.
 	attempt int
 	// tries counts failed attempts; never above Options.Attempts.
@@ -132,7 +142,7 @@
 // Submit takes in a request and returns what to do.
 func (d *Dispatcher) Submit(r Request, now time.Duration) []Command {
 	d.commands = nil
-	j := &job{Request: r}
+	j := &job{Request: r, lane: r.Class, since: now}
 	if reason, ok := d.admissible(j, now); !ok {
 		d.commands = append(d.commands, Command{Kind: Fail, Request: r.ID, Reason: reason, NotRun: true, RetryAfter: time.Second})
 		return d.commands
@@ -140,7 +150,7 @@
 	d.retries.Earn()
 	j.suspect = d.poison.Suspect(r.Fingerprint, now)
 	d.jobs[r.ID] = j
-	d.queue.Push(r.Class, r.Account, r.ID, float64(r.Prompt+8*r.Output)/r.Weight, j)
+	d.queue.Push(j.lane, r.Account, r.ID, cost(r), j)
 	d.pump(now)
 	return d.commands
 }
@@ -168,7 +178,7 @@
 		return nil
 	}
 	d.free(j)
-	d.queue.Remove(j.Class, j.Account, j.ID)
+	d.queue.Remove(j.lane, j.Account, j.ID)
 	delete(d.jobs, id)
 	d.pump(now)
 	return d.commands
@@ -206,21 +216,25 @@
 // Tick refuses waiting requests that can no longer meet their deadline, and starts what can start.
 func (d *Dispatcher) Tick(now time.Duration) []Command {
 	d.commands = nil
-	var late []*job
+	var late, aged []*job
 	d.queue.Each(func(j *job) {
+		if j.lane == scheduler.Draft && now-j.since > d.options.Patience {
+			aged = append(aged, j)
+		}
 		if d.tooLate(j, now) || d.poison.Refused(j.Fingerprint, now) {
 			late = append(late, j)
 		}
 	})
 	sort.Slice(late, func(a, b int) bool { return late[a].ID < late[b].ID })
 	for _, j := range late {
-		d.queue.Remove(j.Class, j.Account, j.ID)
+		d.queue.Remove(j.lane, j.Account, j.ID)
 		reason := ReasonDeadline
 		if d.poison.Refused(j.Fingerprint, now) {
 			reason = ReasonPoison
 		}
 		d.fail(j, reason)
 	}
+	d.promote(aged)
 	if j, _, ok := d.queue.Peek(); ok {
 		d.router.Relax(now, relaxAfter, d.pieces(j))
 	}
@@ -228,6 +242,23 @@
 	return d.commands
 }
 
+// promote lets drafts that have waited for long compete with interactive requests, so that an account that sends
+// too much of those does not keep the drafts of all others waiting for ever.
+func (d *Dispatcher) promote(aged []*job) {
+	sort.Slice(aged, func(a, b int) bool { return aged[a].ID < aged[b].ID })
+	for _, j := range aged {
+		if d.queue.Remove(j.lane, j.Account, j.ID) {
+			j.lane = scheduler.Interactive
+			d.queue.Push(j.lane, j.Account, j.ID, cost(j.Request), j)
+		}
+	}
+}
+
+// cost is the work of a request for its account, in prompt tokens: an output token costs as much as several.
+func cost(r Request) float64 {
+	return float64(r.Prompt+outputCost*r.Output) / r.Weight
+}
+
 // tooLate tells whether a waiting request would miss its first-token deadline even on an idle endpoint.
 // A request whose caller has received tokens is resumed however late it is.
 func (d *Dispatcher) tooLate(j *job, now time.Duration) bool {
@@ -432,7 +463,7 @@
 	}
 	j.phase = queued
 	j.attempt++
-	d.queue.PushFront(j.Class, j.Account, j.ID, j)
+	d.queue.PushFront(j.lane, j.Account, j.ID, j)
 }
 
 // forget drops the names of the endpoints in use without telling them.
