--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,7 +99,7 @@
 	self := sharer.Member{Name: s.Name, Incarnation: rand.Uint64()}
 	shares := sharer.New(self, sharer.Options{Lag: s.Limits.Lag, Pause: s.Limits.Pause})
 	g.admitter = admitter.New(s.Name, shares, limiter.New(shares, limiter.Equal))
-	client := platform.New(s.Platform.URL, &http.Client{Transport: g.transport})
+	client := platform.New(s.Platform.URL, s.Name, &http.Client{Transport: g.transport})
 	g.configurer = configurer.New(client, s.Platform.Poll, logger, g.accepted, g.listed)
 	g.gossiper = gossiper.New(s.Name, incarnation, credentials, g.admitter, g.configurer, g.driver)
 	g.admitter.Lend(g.gossiper)
--- /dev/null
+++ b/gateway/requester/requester_test.go
@@ -0,0 +1,76 @@
+package requester
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/gateway/linker"
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+// breaker is an agent whose connection breaks after it has taken a call.
+type breaker struct{ calls atomic.Int64 }
+
+func (b *breaker) Serve(_ context.Context, _ *fleet.Peer, method string, _ json.RawMessage) (any, error) {
+	if method == fleet.MethodCall {
+		b.calls.Add(1)
+	}
+	return nil, errors.New("broken after the call arrived")
+}
+
+func (b *breaker) Gone(*fleet.Peer) {}
+
+func newCredential(t *testing.T, name string) *credential.Credential {
+	t.Helper()
+	c, err := credential.New([]byte("secret of this test"), name, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// TestCallIsNotTriedAgainOnceItArrived sends a call without a key to agents that fail after it arrived.
+func TestCallIsNotTriedAgainOnceItArrived(t *testing.T) {
+	agent := &breaker{}
+	l := linker.New("1", newCredential(t, "gw"), func(fleet.Tokens) {})
+	defer l.Close()
+	r := New(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var endpoints []endpoint.Endpoint
+	for _, id := range []string{"a", "b", "c"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = fleet.NewServer(listener, newCredential(t, id), agent).Serve(ctx) }()
+		endpoints = append(endpoints, endpoint.Endpoint{ID: id, Address: listener.Addr().String(), Domain: id, Role: endpoint.Plain, Model: "bookings"})
+		l.Set(id, listener.Addr().String())
+	}
+	r.Update(endpoints)
+	if got := r.Call(ctx, fleet.Call{Service: "bookings", Name: "pay"}); got.Outcome != fleet.CallUnknown {
+		t.Errorf("outcome %s, want %s", got.Outcome, fleet.CallUnknown)
+	}
+	if n := agent.calls.Load(); n != 1 {
+		t.Errorf("the call arrived %d times, want 1", n)
+	}
+}
+
+// TestNotRunIsTrue sends a call to agents that are not there.
+func TestNotRunIsTrue(t *testing.T) {
+	l := linker.New("1", newCredential(t, "gw"), func(fleet.Tokens) {})
+	defer l.Close()
+	r := New(l)
+	r.Update([]endpoint.Endpoint{{ID: "gone", Role: endpoint.Plain, Model: "bookings"}})
+	if got := r.Call(context.Background(), fleet.Call{Service: "bookings", Name: "pay", Key: "k"}); got.Outcome != fleet.CallNotRun {
+		t.Errorf("outcome %s, want %s", got.Outcome, fleet.CallNotRun)
+	}
+}
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -251,7 +251,7 @@
 // token passes a token on to its caller.
 func (r *Runner) token(a *attempt, index int) {
 	q := a.request
-	if q.gateway.open[q.id] != q || a.gateway.incarnation != a.gateway.incarnation {
+	if q.gateway.open[q.id] != q || a.key.Owner != a.gateway.owner() {
 		return
 	}
 	now := r.line.now + r.delay(a.gateway.domain, r.nodes[a.command.Endpoint].endpoint.Domain)
--- a/pkg/limiter/model_test.go
+++ b/pkg/limiter/model_test.go
@@ -251,7 +251,7 @@
 func (w *world) step(c chooser) {
 	name := fmt.Sprintf("g%d", c.choose(names, "gateway"))
 	p := w.processes[name]
-	switch c.choose(16, "action") {
+	switch c.choose(17, "action") {
 	case 0:
 		w.advance(time.Duration(1+c.choose(40, "tenths")) * 100 * time.Millisecond)
 	case 1, 2:
@@ -270,11 +270,24 @@
 		w.toggle(name, c)
 	case 14:
 		clear(w.cut)
+	case 15:
+		w.isolate(name)
 	default:
 		w.settle(p, c)
 	}
 }
 
+// isolate cuts a gateway off the list and all others.
+func (w *world) isolate(name string) {
+	w.note("isolate %s", name)
+	w.cut[[2]string{name, list}] = true
+	for i := range names {
+		other := fmt.Sprintf("g%d", i)
+		w.cut[[2]string{name, other}] = true
+		w.cut[[2]string{other, name}] = true
+	}
+}
+
 // toggle cuts a link, in one direction, or mends it.
 func (w *world) toggle(name string, c chooser) {
 	to := list
--- /dev/null
+++ b/pkg/router/router_test.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+)
+
+func newRouter(t testing.TB, policy string, count int) *Router {
+	t.Helper()
+	p, ok := PolicyByName(policy)
+	if !ok {
+		t.Fatalf("no policy %s", policy)
+	}
+	r := New(p, "a", rand.New(rand.NewPCG(1, 2)))
+	for i := range count {
+		r.Set(endpoint.Endpoint{ID: fmt.Sprint("d", i), Domain: "a", Model: "m", Role: endpoint.Decode, Slots: 20}, 100)
+		r.Set(endpoint.Endpoint{ID: fmt.Sprint("p", i), Domain: "a", Model: "m", Role: endpoint.Prefill}, 100)
+	}
+	return r
+}
+
+func TestLeavingGetsNothing(t *testing.T) {
+	for _, policy := range []string{probeName, randomName, roundRobinName, leastLoadedName} {
+		r := newRouter(t, policy, 3)
+		r.Set(endpoint.Endpoint{ID: "d1", Domain: "a", Model: "m", Role: endpoint.Decode, Slots: 20, Leaving: true}, 100)
+		for range 100 {
+			if v := r.Pick(endpoint.Decode, Work{Model: "m"}); v == nil || v.ID == "d1" {
+				t.Fatalf("%s picked %v", policy, v)
+			}
+		}
+	}
+}
+
+func TestFullAndFailedArePassedOver(t *testing.T) {
+	r := newRouter(t, probeName, 2)
+	r.Report("d0", endpoint.Load{Held: 20, FreePieces: 100}, 0)
+	r.Failed("d1", 0)
+	if v := r.Pick(endpoint.Decode, Work{Model: "m"}); v != nil {
+		t.Fatalf("picked %s though one is full and one failed", v.ID)
+	}
+	if v := r.Pick(endpoint.Decode, Work{Model: "m", Now: time.Second}); v == nil || v.ID != "d1" {
+		t.Errorf("picked %v, want the failed one after its pause", v)
+	}
+	r.Relax(time.Second, time.Second/2, 1)
+	r.Failed("d1", time.Second)
+	if v := r.Pick(endpoint.Decode, Work{Model: "m", Now: time.Second}); v == nil || v.ID != "d0" {
+		t.Errorf("picked %v, want the full one whose report is old", v)
+	}
+}
+
+func TestCachedPrefixIsPreferred(t *testing.T) {
+	r := newRouter(t, probeName, 4)
+	r.Cached(7, "p2")
+	if v := r.Pick(endpoint.Prefill, Work{Model: "m", Tokens: 1000, Prefix: 7}); v.ID != "p2" {
+		t.Errorf("picked %s, want p2", v.ID)
+	}
+	r.Report("p2", endpoint.Load{Backlog: 100000}, 0)
+	if v := r.Pick(endpoint.Prefill, Work{Model: "m", Tokens: 1000, Prefix: 7}); v.ID == "p2" {
+		t.Error("picked p2 in spite of its long queue")
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			r := newRouter(b, probeName, count)
+			w := Work{Model: "m", Tokens: 1000, Pieces: 1, Prefix: 3}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Pick(endpoint.Decode, w)
+				r.Pick(endpoint.Prefill, w)
+			}
+		})
+	}
+}
--- a/service/platform/platform.go
+++ b/service/platform/platform.go
@@ -63,12 +63,13 @@
 // Client reads from the platform.
 type Client struct {
 	base string
+	name string
 	http *http.Client
 }
 
-// New returns a client of the platform at the base URL.
-func New(base string, client *http.Client) *Client {
-	return &Client{base: base, http: client}
+// New returns a client of the platform at the base URL for the named process.
+func New(base, name string, client *http.Client) *Client {
+	return &Client{base: base, name: name, http: client}
 }
 
 // Value reads a list; with after above zero it waits a while for a version above it and returns
@@ -97,6 +98,7 @@
 	if err != nil {
 		return errors.Wrap(err, "make request")
 	}
+	req.Header.Set("User-Agent", c.name)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "read platform")
--- a/standin/assembler/assembler.go
+++ b/standin/assembler/assembler.go
@@ -78,6 +78,14 @@
 	done   chan struct{}
 }
 
+// Plans returns the version of the plans that a gateway has in force.
+func (n *Node) Plans() uint64 {
+	if s, ok := n.Gateway.State().(gateway.State); ok {
+		return s.Config.Plans
+	}
+	return 0
+}
+
 // Fleet is a running fleet.
 type Fleet struct {
 	options  Options
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -19,12 +19,14 @@
 	vms     wire.VMs
 	changed chan struct{}
 	down    bool
+	// blocked holds the processes that can't reach the service.
+	blocked map[string]bool
 	calls   int
 }
 
 // New returns a platform that publishes nothing yet.
 func New() *Platform {
-	return &Platform{values: make(map[string]wire.Value), changed: make(chan struct{})}
+	return &Platform{values: make(map[string]wire.Value), blocked: make(map[string]bool), changed: make(chan struct{})}
 }
 
 // Publish sets a list; a lower version than before is published too, as a stale service would.
@@ -57,6 +59,27 @@
 	p.down = down
 }
 
+// Block cuts a process off the service.
+func (p *Platform) Block(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.blocked[name] = true
+}
+
+func (p *Platform) isBlocked(r *http.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.blocked[r.UserAgent()]
+}
+
+// count counts a call and tells whether it is answered.
+func (p *Platform) count(r *http.Request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	return !p.down && !p.blocked[r.UserAgent()]
+}
+
 // Calls returns how many calls were made.
 func (p *Platform) Calls() int {
 	p.mu.Lock()
@@ -82,9 +105,10 @@
 }
 
 func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	p.calls++
-	p.mu.Unlock()
+	if !p.count(r) {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
@@ -103,7 +127,7 @@
 	}
 	v, known, _, down := p.state(r.PathValue("name"))
 	switch {
-	case down:
+	case down || p.isBlocked(r):
 		http.Error(w, "down", http.StatusServiceUnavailable)
 	case !known:
 		http.NotFound(w, r)
@@ -112,16 +136,12 @@
 	}
 }
 
-func (p *Platform) serveVMs(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	p.calls++
-	vms, down := p.vms, p.down
-	p.mu.Unlock()
-	if down {
+func (p *Platform) serveVMs(w http.ResponseWriter, r *http.Request) {
+	if !p.count(r) {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(vms)
+	_ = json.NewEncoder(w).Encode(p.VMs())
 }
 
 // serveEdit is the operator's editor; the system itself never writes.
