--- a/cmd/pistachiovane/cmds/process.go
+++ b/cmd/pistachiovane/cmds/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"time"
@@ -10,8 +11,10 @@
 
 	"github.com/pistachiovane/pistachiovane/agent"
 	"github.com/pistachiovane/pistachiovane/gateway"
+	"github.com/pistachiovane/pistachiovane/pkg/certifier"
 	"github.com/pistachiovane/pistachiovane/pkg/settings"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/meter"
 	"github.com/pistachiovane/pistachiovane/service/operator"
 )
 
@@ -31,6 +34,8 @@
 	operator.Process
 	Serve(ctx context.Context) error
 	Drain(ctx context.Context)
+	// Readings returns the metrics of the process.
+	Readings() []meter.Reading
 }
 
 func (c *gatewayCommand) run(ctx context.Context, o output) error {
@@ -42,6 +47,13 @@
 	if err != nil {
 		return err
 	}
+	if s.Callers.Cert != "" {
+		c, err := certifier.New(s.Callers.Cert, s.Callers.Key)
+		if err != nil {
+			return err
+		}
+		callers = tls.NewListener(callers, c.Config())
+	}
 	peers, err := listen(s.Fleet.Listen)
 	if err != nil {
 		return err
@@ -78,10 +90,14 @@
 		return err
 	}
 	_, _ = fmt.Fprintln(o.err, "operator", l.Addr())
+	metrics, err := meter.New(d.Readings())
+	if err != nil {
+		return err
+	}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	done := make(chan error, 2)
-	go func() { done <- operator.New(l, d, nil).Serve(inner) }()
+	go func() { done <- operator.New(l, d, metrics).Serve(inner) }()
 	go func() { done <- d.Serve(inner) }()
 	select {
 	case err := <-done:
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,140 @@
+// Command standin starts one stand-in of the platform: an engine, a plain service or the configuration service.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/pkg/parser"
+	wire "github.com/pistachiovane/pistachiovane/service/platform"
+	"github.com/pistachiovane/pistachiovane/standin/engine"
+	"github.com/pistachiovane/pistachiovane/standin/model"
+	"github.com/pistachiovane/pistachiovane/standin/plain"
+	"github.com/pistachiovane/pistachiovane/standin/platform"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	// reread is how often the files of the platform are read again.
+	reread = 500 * time.Millisecond
+)
+
+type engineCommand struct {
+	Speed float64 `arg:"--speed" default:"1" help:"how much faster than real time"`
+	Fence bool    `arg:"--fence" help:"check the fencing numbers of orders"`
+}
+
+type plainCommand struct {
+	Delay time.Duration `arg:"--delay" default:"2ms" help:"time of one call"`
+}
+
+type platformCommand struct {
+	Plans string `arg:"--plans,required" help:"customers' plans"`
+	Uses  string `arg:"--uses,required" help:"what each plan may use"`
+	VMs   string `arg:"--vms,required" help:"VM list, as JSON"`
+}
+
+type arguments struct {
+	Engine   *engineCommand   `arg:"subcommand:engine" help:"a model engine"`
+	Plain    *plainCommand    `arg:"subcommand:plain" help:"a plain service"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"the configuration service and the VM list, from files that may be edited"`
+	Listen   string           `arg:"--listen" default:"127.0.0.1:0" help:"address"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := run(ctx, a)
+	stop()
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, a arguments) error {
+	switch {
+	case a.Engine != nil:
+		e := engine.New(model.DefaultSettings(), a.Engine.Speed, a.Engine.Fence, http.DefaultClient)
+		go func() { _ = e.Serve(ctx) }()
+		return serve(ctx, a.Listen, e.Handler())
+	case a.Plain != nil:
+		return serve(ctx, a.Listen, plain.New(a.Plain.Delay).Handler())
+	case a.Platform != nil:
+		p := platform.New()
+		if err := a.Platform.read(p); err != nil {
+			return err
+		}
+		go a.Platform.loop(ctx, p)
+		return serve(ctx, a.Listen, p.Handler())
+	default:
+		return errors.New("name a stand-in: engine, plain or platform")
+	}
+}
+
+func serve(ctx context.Context, address string, h http.Handler) error {
+	config := net.ListenConfig{}
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	_, _ = fmt.Println("http://" + l.Addr().String())
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// loop publishes the files again when they change.
+func (c *platformCommand) loop(ctx context.Context, p *platform.Platform) {
+	ticker := time.NewTicker(reread)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if err := c.read(p); err != nil {
+				_, _ = fmt.Fprintln(os.Stderr, err)
+			}
+		}
+	}
+}
+
+// read publishes what has changed in the files.
+func (c *platformCommand) read(p *platform.Platform) error {
+	for name, path := range map[string]string{"plans": c.Plans, "uses": c.Uses} {
+		body, err := os.ReadFile(path)
+		if err != nil {
+			return errors.Wrap(err, "read list")
+		}
+		version, ok := parser.Version(parser.Text{Name: path, Body: body})
+		if !ok {
+			return errors.Errorf("%s has no version", path)
+		}
+		p.PublishChanged(name, version, string(body))
+	}
+	body, err := os.ReadFile(c.VMs)
+	if err != nil {
+		return errors.Wrap(err, "read VM list")
+	}
+	var vms []wire.VM
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return errors.Wrap(err, "decode VM list")
+	}
+	p.SetChangedVMs(vms)
+	return nil
+}
--- a/load/runner/fleet.go
+++ b/load/runner/fleet.go
@@ -23,7 +23,7 @@
 
 // FleetByName returns one of the brief's fleets, clay or kalvo; ok is false for any other name.
 func FleetByName(name string) (f Fleet, ok bool) {
-	f = Fleet{Name: name, Prefills: 3, Decodes: 6, Engine: model.DefaultSettings(), Accounts: []workload.Account{
+	f = Fleet{Name: name, Prefills: 2, Decodes: 7, Engine: model.DefaultSettings(), Accounts: []workload.Account{
 		{Name: "first", Share: 0.38, Factor: 1},
 		{Name: "second", Share: 0.27, Factor: 1},
 		{Name: "third", Share: 0.2, Factor: 1},
--- /dev/null
+++ b/service/meter/meter.go
@@ -0,0 +1,66 @@
+// Package meter exposes the counts of a process as OpenTelemetry metrics in the usual text form.
+package meter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Reading is one value of a process.
+type Reading struct {
+	// Name is in the OpenTelemetry form, such as pistachiovane.requests.answered.
+	Name string
+	Help string
+	// Rising is set for counts that only rise; the others are states.
+	Rising bool
+	Value  func() float64
+}
+
+// Meter serves readings.
+type Meter struct {
+	handler  http.Handler
+	provider *sdk.MeterProvider
+}
+
+// New returns a meter of the readings. It fails on names that are not allowed or stand twice.
+func New(readings []Reading) (*Meter, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "make exporter")
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	instruments := provider.Meter("pistachiovane")
+	for _, r := range readings {
+		if err := register(instruments, r); err != nil {
+			return nil, err
+		}
+	}
+	return &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), provider: provider}, nil
+}
+
+// ServeHTTP answers with all readings.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	m.handler.ServeHTTP(w, r)
+}
+
+func register(m metric.Meter, r Reading) error {
+	observe := func(_ context.Context, o metric.Float64Observer) error {
+		o.Observe(r.Value())
+		return nil
+	}
+	var err error
+	if r.Rising {
+		_, err = m.Float64ObservableCounter(r.Name, metric.WithDescription(r.Help), metric.WithFloat64Callback(observe))
+	} else {
+		_, err = m.Float64ObservableGauge(r.Name, metric.WithDescription(r.Help), metric.WithFloat64Callback(observe))
+	}
+	return errors.Wrapf(err, "register %s", r.Name)
+}
--- a/standin/assembler/assembler.go
+++ b/standin/assembler/assembler.go
@@ -43,7 +43,9 @@
 	// Lag and Pause are the bounds of the sharing of limits.
 	Lag   time.Duration
 	Pause time.Duration
-	Log   *log.Logger
+	// Slow is the longest time that a caller may take to send a request.
+	Slow time.Duration
+	Log  *log.Logger
 }
 
 // DefaultOptions returns the fleet of the demo.
@@ -57,7 +59,7 @@
 			{Name: "potter", Key: "potter-key", Rate: 15000, Burst: 30000, Weight: 1},
 		},
 		Speed: 1, Engine: model.DefaultSettings(),
-		Lag: 200 * time.Millisecond, Pause: time.Second,
+		Lag: 200 * time.Millisecond, Pause: time.Second, Slow: 10 * time.Second,
 		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 	}
 }
@@ -96,6 +98,7 @@
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
 	client   *http.Client
+	started  time.Time
 	Gateways []*Node
 	Agents   []*Node
 }
@@ -106,7 +109,7 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	f := &Fleet{
 		options: o, secret: []byte("stand-in fleet secret"), Platform: platform.New(),
-		ctx: inner, stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		started: time.Now(), ctx: inner, stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 	}
 	if err := f.start(); err != nil {
 		f.Close()
@@ -292,6 +295,7 @@
 	s.Fleet.Secret = f.secret
 	s.Platform.URL = f.url
 	s.Platform.Poll = 100 * time.Millisecond
+	s.Callers.Slow = f.options.Slow
 	s.Limits = settings.Limits{Lag: f.options.Lag, Pause: f.options.Pause}
 	s.Route.Prefill = f.options.Engine.PrefillRate * f.options.Speed
 	callers, err := listen()
--- /dev/null
+++ b/standin/assembler/badinput_test.go
@@ -0,0 +1,158 @@
+package assembler
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestBadInput sends what callers should not send; each gets a typed error and the gateway goes on.
+func TestBadInput(t *testing.T) {
+	f := startFleet(t, nil)
+	base := f.Gateways[0].Callers
+	tests := []struct {
+		name, path, key, body string
+		status                int
+		code                  string
+	}{
+		{"malformed JSON", "/v1/completions", "studio-key", `{"model":`, 400, "request"},
+		{"wrong type", "/v1/completions", "studio-key", `{"model":"drafting","prompt":7}`, 400, "request"},
+		{"missing prompt", "/v1/completions", "studio-key", `{"model":"drafting"}`, 400, "request"},
+		{"negative size", "/v1/completions", "studio-key", `{"model":"drafting","prompt":"x","max_tokens":-1}`, 400, "request"},
+		{"huge number", "/v1/completions", "studio-key", `{"model":"drafting","prompt":"x","max_tokens":1e30}`, 400, "request"},
+		{"unknown model", "/v1/completions", "studio-key", `{"model":"nobody","prompt":"x"}`, 403, "plan"},
+		{"unknown key", "/v1/completions", "wrong", `{"model":"drafting","prompt":"x"}`, 401, "key"},
+		{"oversized body", "/v1/completions", "studio-key", `{"model":"drafting","prompt":"` + strings.Repeat("x", 5<<20) + `"}`, 413, "size"},
+		{"above burst", "/v1/completions", "potter-key", `{"model":"drafting","prompt":"x","max_tokens":99999}`, 400, "size"},
+		{"unknown service", "/v1/services/other/pay", "studio-key", `{}`, 403, "plan"},
+		{"no such path", "/v2/other", "studio-key", `{}`, 404, "path"},
+		{"no messages", "/v1/chat/completions", "studio-key", `{"model":"drafting","messages":[]}`, 400, "request"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := post(t, base+tt.path, tt.key, tt.body)
+			var got struct {
+				Error struct{ Code, Type, Message, Run string }
+			}
+			if err := json.Unmarshal([]byte(r.body), &got); err != nil {
+				t.Fatalf("no typed error in %q", r.body)
+			}
+			if r.status != tt.status || got.Error.Code != tt.code {
+				t.Errorf("status %d code %q, want %d %q: %s", r.status, got.Error.Code, tt.status, tt.code, got.Error.Message)
+			}
+			if r.header.Get("X-Run") != "not-run" || got.Error.Run != "not-run" {
+				t.Errorf("run %q in the header and %q in the body, want not-run", r.header.Get("X-Run"), got.Error.Run)
+			}
+		})
+	}
+	if r := post(t, base+"/v1/completions", "studio-key", `{"model":"drafting","prompt":"still there","max_tokens":4}`); r.status != http.StatusOK {
+		t.Errorf("after bad input: status %d: %s", r.status, r.body)
+	}
+}
+
+// TestIdentityHeadersAreIgnored sends headers that name another account.
+func TestIdentityHeadersAreIgnored(t *testing.T) {
+	f := startFleet(t, nil)
+	r := post(t, f.Gateways[0].Callers+"/v1/services/bookings/pay", "studio-key", `{"amount":1}`, "X-Account", "tutor", "X-Tenant-Id", "tutor")
+	if r.status != http.StatusOK {
+		t.Fatalf("status %d: %s", r.status, r.body)
+	}
+	for _, n := range f.Agents {
+		if n.Plain == nil {
+			continue
+		}
+		for _, run := range n.Plain.Runs() {
+			if run.Account != "studio" || run.Authorization != "" {
+				t.Errorf("the call ran for %q with key %q", run.Account, run.Authorization)
+			}
+		}
+	}
+}
+
+// TestSlowCallerIsDropped opens a request and never ends it.
+func TestSlowCallerIsDropped(t *testing.T) {
+	f := startFleet(t, func(o *Options) { o.Slow = 200 * time.Millisecond })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.Gateways[0].Callers, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer studio-key\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{")
+	_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	if err == nil && !strings.Contains(line, " 400 ") && !strings.Contains(line, " 408 ") {
+		t.Errorf("a slow caller got %q", line)
+	}
+}
+
+// TestFleetPortNeedsCredentials talks to an agent and a gateway without the fleet's certificate.
+func TestFleetPortNeedsCredentials(t *testing.T) {
+	f := startFleet(t, nil)
+	for _, n := range append(append([]*Node(nil), f.Agents...), f.Gateways...) {
+		conn, err := net.Dial("tcp", n.vm.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write([]byte(`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"incarnation":"x"}}` + "\n"))
+		_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+		reply := make([]byte, 256)
+		count, _ := conn.Read(reply)
+		if strings.Contains(string(reply[:count]), "result") {
+			t.Errorf("%s answered without credentials: %q", n.Name, reply[:count])
+		}
+		_ = conn.Close()
+	}
+}
+
+// TestDumpHoldsNoSecrets looks for keys and digests in the state of every process.
+func TestDumpHoldsNoSecrets(t *testing.T) {
+	f := startFleet(t, nil)
+	post(t, f.Gateways[0].Callers+"/v1/completions", "studio-key", `{"model":"drafting","prompt":"x","max_tokens":4}`)
+	for _, g := range f.Gateways {
+		data, err := json.Marshal(g.Gateway.State())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, secret := range []string{"studio-key", "tutor-key", "stand-in fleet secret"} {
+			if strings.Contains(string(data), secret) {
+				t.Errorf("the dump of %s holds %q", g.Name, secret)
+			}
+		}
+	}
+}
+
+// TestLimitHoldsOverARestart spends an account's plan at both gateways while one of them restarts with an empty memory.
+func TestLimitHoldsOverARestart(t *testing.T) {
+	const rate = 50
+	f := startFleet(t, func(o *Options) { o.Accounts[2].Rate, o.Accounts[2].Burst = rate, 400 })
+	got := 0
+	spend := func(gateways ...*Node) {
+		for range 30 {
+			for _, g := range gateways {
+				if r := post(t, g.Callers+"/v1/services/bookings/read", "potter-key", `{}`); r.status == http.StatusOK {
+					got++
+				}
+			}
+		}
+	}
+	spend(f.Gateways...)
+	f.Stop(f.Gateways[1])
+	spend(f.Gateways[0])
+	f.Gateways = f.Gateways[:1]
+	if _, err := f.AddGateway("gw-2"); err != nil {
+		t.Fatal(err)
+	}
+	spend(f.Gateways...)
+	// All buckets start empty, so no more than the refill since the start of the fleet may have been admitted.
+	if most := rate*time.Since(f.started).Seconds() + 1; float64(got) > most {
+		t.Errorf("%d calls were admitted, at most %.0f are allowed", got, most)
+	}
+	if got < 30 {
+		t.Errorf("only %d of 150 calls were admitted", got)
+	}
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -154,3 +155,17 @@
 	p.Publish(r.PathValue("name"), v.Version, v.Text)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// PublishChanged sets a list unless it stands so already.
+func (p *Platform) PublishChanged(name string, version uint64, text string) {
+	if v, known, _, _ := p.state(name); !known || v.Version != version || v.Text != text {
+		p.Publish(name, version, text)
+	}
+}
+
+// SetChangedVMs publishes the VM list unless it stands so already.
+func (p *Platform) SetChangedVMs(vms []wire.VM) {
+	if !slices.Equal(vms, p.VMs().VMs) {
+		p.SetVMs(vms)
+	}
+}
