--- a/cmd/pistachiovane/cmds/load.go
+++ b/cmd/pistachiovane/cmds/load.go
@@ -19,9 +19,10 @@
 	JSON     bool          `arg:"--json" help:"print only one JSON object on standard output"`
 	Load     float64       `arg:"--load" default:"0.9" help:"offered load as a share of the fleet's capacity"`
 	For      time.Duration `arg:"--for" default:"300s" help:"how long requests arrive, in virtual time"`
-	Policies string        `arg:"--policies" default:"probe" help:"policies to run with the same seed: probe, leastloaded, roundrobin, random, late, split"`
+	Policies string        `arg:"--policies" default:"probe" help:"policies to run with the same seed: probe, leastloaded, roundrobin, random, late, split, fifo, naive"`
 	Faults   string        `arg:"--faults" default:"none" help:"none, daily or storm"`
 	Cancels  float64       `arg:"--cancels" default:"0" help:"share of callers who go early"`
+	Skew     bool          `arg:"--skew" help:"send all requests of an account to one gateway"`
 	Hog      float64       `arg:"--hog" default:"1" help:"factor of the third account's requests"`
 }
 
@@ -48,7 +49,7 @@
 			_, _ = fmt.Fprintf(o.err, "load: %s, policy %s\n", c.Fleet, policy)
 		}
 		r, err := runner.New(runner.Options{
-			Fleet: fleet, Policy: policy, Seed: c.Seed, Load: c.Load, For: c.For, Faults: c.Faults, Cancels: c.Cancels, Hog: c.Hog,
+			Fleet: fleet, Policy: policy, Seed: c.Seed, Load: c.Load, For: c.For, Faults: c.Faults, Cancels: c.Cancels, Hog: c.Hog, Skew: c.Skew,
 		})
 		if err != nil {
 			return err
--- a/load/runner/entry.go
+++ b/load/runner/entry.go
@@ -129,6 +129,9 @@
 		ID: q.id, Account: account.Name, Weight: account.Share, Class: scheduler.Draft, Model: modelName,
 		Prompt: q.Prompt, Output: q.Most, Prefix: q.Prefix, Fingerprint: quarantiner.Fingerprint(q.number + 1),
 	}
+	if g.runner.policy.fifo {
+		r.Account, r.Weight = "all", 1
+	}
 	if !q.Draft {
 		r.Class = scheduler.Interactive
 		r.Deadline = g.clock() + firstDeadline
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -36,7 +36,7 @@
 // Options describe a run.
 type Options struct {
 	Fleet Fleet
-	// Policy is probe, leastloaded, roundrobin, random, late, split or naive.
+	// Policy is probe, leastloaded, roundrobin, random, late, split, fifo or naive.
 	Policy string
 	Seed   uint64
 	// Load is the offered load as a share of the fleet's capacity.
@@ -49,6 +49,8 @@
 	Cancels float64
 	// Hog multiplies the requests of the third account.
 	Hog float64
+	// Skew sends all requests of an account to one gateway.
+	Skew bool
 }
 
 // policy is a way of deciding; late and split switch one mechanism off.
@@ -58,6 +60,8 @@
 	late bool
 	// split keeps each gateway to its own share of every limit.
 	split bool
+	// fifo serves requests in order of arrival, whoever sent them.
+	fifo bool
 }
 
 // request is a request with what happened to it.
@@ -118,9 +122,9 @@
 }
 
 func policyOf(name string) (policy, error) {
-	p := policy{late: name == "late" || name == "naive", split: name == "split"}
+	p := policy{late: name == "late" || name == "naive", split: name == "split", fifo: name == "fifo"}
 	switch name {
-	case "late", "split":
+	case "late", "split", "fifo":
 		name = "probe"
 	case "naive":
 		name = "random"
@@ -221,6 +225,9 @@
 // arrive sends a request to the gateway that the platform's balancer chooses.
 func (r *Runner) arrive(q *request) {
 	g := r.entries[r.rng.IntN(len(r.entries))]
+	if r.options.Skew {
+		g = r.entries[q.Account%len(r.entries)]
+	}
 	account := r.plans[q.Account].Account
 	tokens := float64(q.Prompt + q.Most)
 	_, within := r.oracles[q.Account].Take(float64(q.Prompt+q.Length), r.line.now)
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -16,6 +16,13 @@
 	classes
 )
 
+const (
+	// lagItems is how many mean items an account may save up.
+	lagItems = 16
+	// meanOver is how many items the running mean of costs looks back over.
+	meanOver = 64
+)
+
 // Scheduler is a two-class start-time fair queue. It is not safe for concurrent use.
 type Scheduler[T any] struct {
 	lanes [classes]lane[T]
@@ -29,6 +36,8 @@
 	vtime float64
 	// length counts the items of all flows.
 	length int
+	// mean is the running mean of the items' costs.
+	mean float64
 }
 
 // flow holds the waiting items of one client account.
@@ -72,8 +81,9 @@
 	f := l.flow(account)
 	f.items = append(f.items, entry[T]{id: id, cost: cost, item: item})
 	l.length++
+	l.mean += (cost - l.mean) / meanOver
 	if len(f.items) == 1 {
-		f.start = max(f.finish, l.vtime)
+		f.start = max(f.finish, l.vtime-l.lag())
 		heap.Push(&l.ready, f)
 	}
 }
@@ -146,6 +156,12 @@
 	}
 }
 
+// lag is the service that an account may save up while it sends less than its share, so that one large request of
+// a small account does not keep its next ones waiting past their deadlines.
+func (l *lane[T]) lag() float64 {
+	return lagItems * l.mean
+}
+
 func (l *lane[T]) flow(account string) *flow[T] {
 	f, ok := l.flows[account]
 	if !ok {
@@ -183,7 +199,7 @@
 		return
 	}
 	heap.Remove(&l.ready, f.index)
-	if f.finish <= l.vtime {
+	if f.finish <= l.vtime-l.lag() {
 		delete(l.flows, f.account)
 	}
 	if len(l.ready) == 0 {
