Bound gossip and platform reads, and keep the fleet port open when out of descriptors

Cause: each gateway asked all others four times a second with the whole member list, which grows with the fleet; and measuring 128 gateways in one process showed that a failed accept ended the fleet port's server over and over. Change: one partner every 500 ms, all only while the share is not grown; messages name the list by version; a gateway with newer lists is asked at once; two readers a failure domain read often; accept errors are waited out; the supervisors log through the process's logger.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiovane/pistachiovane/pkg/deduplicator"
 	"github.com/pistachiovane/pistachiovane/pkg/settings"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 // drainPoll is how often a draining agent looks whether its work has ended.
@@ -48,7 +49,7 @@
 	}
 	a := &Agent{
 		settings: s, incarnation: uuid.NewString(), credential: c, log: logger,
-		supervisor: suture.New("agent", suture.Spec{PassThroughPanics: true}),
+		supervisor: supervision.New("agent", logger),
 		transport:  &http.Transport{MaxIdleConnsPerHost: 256},
 		peers:      make(map[string]*fleet.Client),
 	}
--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,133 @@
+// Command capacity measures the slopes that docs/CAPACITY.md is worked out from, on real gateways in one process.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/standin/assembler"
+)
+
+const startTimeout = 3 * time.Minute
+
+// point is what one fleet used while it carried no requests.
+type point struct {
+	Gateways int `json:"gateways"`
+	Accounts int `json:"accounts"`
+	// Bytes and Messages are sent by one gateway in a second.
+	Bytes    float64 `json:"bytes"`
+	Messages float64 `json:"messages"`
+	// Core is the share of a core that one gateway uses.
+	Core float64 `json:"core"`
+	// Heap is the live memory of one gateway in bytes.
+	Heap float64 `json:"heap"`
+	// Calls is how often one gateway called the platform in a second.
+	Calls float64 `json:"calls"`
+	// Spread is how long a change of one account took to be in force everywhere, in seconds.
+	Spread float64 `json:"spread"`
+}
+
+func main() {
+	gateways := flag.String("gateways", "4,16,64,128", "numbers of gateways")
+	accounts := flag.String("accounts", "1000", "numbers of client accounts")
+	idle := flag.Duration("for", 10*time.Second, "how long each fleet is measured")
+	flag.Parse()
+	for _, a := range numbers(*accounts) {
+		for _, g := range numbers(*gateways) {
+			p, err := measure(g, a, *idle)
+			if err != nil {
+				_, _ = fmt.Fprintln(os.Stderr, err)
+				os.Exit(1)
+			}
+			line, _ := json.Marshal(p)
+			_, _ = fmt.Println(string(line))
+		}
+	}
+}
+
+func numbers(list string) []int {
+	var out []int
+	for _, word := range strings.Split(list, ",") {
+		if n, err := strconv.Atoi(word); err == nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func measure(gateways, accounts int, idle time.Duration) (point, error) {
+	before := heap()
+	o := assembler.DefaultOptions()
+	o.Gateways, o.Prefills, o.Decodes, o.Plains = gateways, 1, 1, 1
+	o.Poll = time.Second
+	o.Lag = time.Second
+	o.Pause = 5 * time.Second
+	o.Accounts = nil
+	for i := range accounts {
+		name := "account-" + strconv.Itoa(i)
+		o.Accounts = append(o.Accounts, assembler.Account{Name: name, Key: "key-" + name, Rate: 1000, Burst: 20000, Weight: 1})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	f, err := assembler.New(ctx, o)
+	if err != nil {
+		return point{}, errors.Wrap(err, "start fleet")
+	}
+	defer f.Close()
+	time.Sleep(2 * time.Second)
+	p := point{Gateways: gateways, Accounts: accounts}
+	bytes, messages, calls, cpu := fleet.Sent.Bytes.Load(), fleet.Sent.Messages.Load(), f.Platform.Calls(), processor()
+	time.Sleep(idle)
+	per := float64(gateways) * idle.Seconds()
+	p.Bytes = float64(fleet.Sent.Bytes.Load()-bytes) / per
+	p.Messages = float64(fleet.Sent.Messages.Load()-messages) / per
+	p.Calls = float64(f.Platform.Calls()-calls) / per
+	p.Core = (processor() - cpu).Seconds() / per
+	p.Heap = (heap() - before) / float64(gateways)
+	p.Spread, err = spread(ctx, f, o.Accounts)
+	return p, err
+}
+
+// spread changes one account and waits until the change is in force everywhere.
+func spread(ctx context.Context, f *assembler.Fleet, accounts []assembler.Account) (float64, error) {
+	accounts[0].Rate++
+	start := time.Now()
+	f.Platform.Publish("plans", 2, assembler.PlansText(2, accounts))
+	for _, g := range f.Gateways {
+		for g.Plans() != 2 {
+			if ctx.Err() != nil {
+				return 0, errors.Wrap(ctx.Err(), "change is not in force everywhere")
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return time.Since(start).Seconds(), nil
+}
+
+// heap returns the live memory of the process in bytes.
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc + m.StackInuse)
+}
+
+// processor returns the processor time that the process used.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/gateway/admitter/admitter.go
+++ b/gateway/admitter/admitter.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// tickEvery must be well below half of the pause that may go unnoticed.
+	tickEvery = 100 * time.Millisecond
 	// minWait is the shortest pause before the shares are asked again.
 	minWait = 5 * time.Millisecond
 	// underway bounds the time that a debit's message takes; a slower answer is not used.
@@ -183,8 +185,21 @@
 	a.limiter.Resize(a.now())
 }
 
-// Tick notices pauses and finishes the growth of the share; it must run several times a second.
-func (a *Admitter) Tick() {
+// Serve notices pauses and finishes the growth of the share until the context ends.
+func (a *Admitter) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			a.tick()
+		}
+	}
+}
+
+func (a *Admitter) tick() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sharer.Check(a.now(), wall())
@@ -199,6 +214,13 @@
 	return a.sharer.Question(a.now())
 }
 
+// Unanswered lists the gateways that must answer before the share may grow.
+func (a *Admitter) Unanswered() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sharer.Unanswered()
+}
+
 // Receive takes in a message of another sharer and returns the answer to a question.
 func (a *Admitter) Receive(m sharer.Message) (reply sharer.Message, answered bool) {
 	a.mu.Lock()
--- a/gateway/configurer/configurer.go
+++ b/gateway/configurer/configurer.go
@@ -29,6 +29,8 @@
 const (
 	// watchWait is how long one watch call waits.
 	watchWait = 10 * time.Second
+	// relaxedFactor is how much rarer a gateway reads while others read for it.
+	relaxedFactor = 20
 	// retryWait is the pause after a failed read.
 	retryWait = 500 * time.Millisecond
 )
@@ -46,6 +48,7 @@
 	log      *log.Logger
 	accepted Accepted
 	listed   Listed
+	relaxed  func() bool
 	current  atomic.Pointer[catalog.Catalog]
 
 	mu sync.Mutex
@@ -56,10 +59,10 @@
 	vms      platform.VMs
 }
 
-// New returns a configurer without lists.
-func New(c *platform.Client, poll time.Duration, logger *log.Logger, accepted Accepted, listed Listed) *Configurer {
+// New returns a configurer without lists. relaxed tells whether other gateways read the platform for this one.
+func New(c *platform.Client, poll time.Duration, logger *log.Logger, accepted Accepted, listed Listed, relaxed func() bool) *Configurer {
 	return &Configurer{
-		client: c, poll: poll, log: logger, accepted: accepted, listed: listed,
+		client: c, poll: poll, log: logger, accepted: accepted, listed: listed, relaxed: relaxed,
 		offered: make(map[string]fleet.List), inForce: make(map[string]fleet.List),
 	}
 }
@@ -143,6 +146,9 @@
 
 func (c *Configurer) loopList(ctx context.Context, name string) {
 	for ctx.Err() == nil {
+		if c.relaxed() {
+			sleep(ctx, c.pause(c.poll))
+		}
 		c.mu.Lock()
 		after := c.offered[name].Version
 		c.mu.Unlock()
@@ -159,13 +165,21 @@
 	}
 }
 
+// pause stretches the time between reads while others read for this gateway.
+func (c *Configurer) pause(d time.Duration) time.Duration {
+	if c.relaxed() {
+		return relaxedFactor * d
+	}
+	return d
+}
+
 func (c *Configurer) loopVMs(ctx context.Context) {
 	for ctx.Err() == nil {
 		asked := time.Now()
 		if v, err := c.client.VMs(ctx); err == nil {
 			c.offerVMs(v, asked, true)
 		}
-		sleep(ctx, c.poll)
+		sleep(ctx, c.pause(c.poll))
 	}
 }
 
--- a/gateway/configurer/configurer_test.go
+++ b/gateway/configurer/configurer_test.go
@@ -30,7 +30,7 @@
 	c = New(nil, time.Second, logger, func(k *catalog.Catalog) {
 		plans, uses := k.Versions()
 		*accepted = append(*accepted, versions{plans, uses})
-	}, func(platform.VMs, time.Time, bool) {})
+	}, func(platform.VMs, time.Time, bool) {}, func() bool { return false })
 	return c, accepted
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,11 +29,13 @@
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 	"github.com/pistachiovane/pistachiovane/pkg/limiter"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
+	"github.com/pistachiovane/pistachiovane/pkg/ranker"
 	"github.com/pistachiovane/pistachiovane/pkg/router"
 	"github.com/pistachiovane/pistachiovane/pkg/settings"
 	"github.com/pistachiovane/pistachiovane/pkg/sharer"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
 	"github.com/pistachiovane/pistachiovane/service/platform"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 const (
@@ -45,6 +47,8 @@
 	retrySaved = 100
 	// freshPieces is the engine memory supposed of an endpoint that has not reported yet.
 	freshPieces = 1 << 20
+	// readers is how many gateways of a failure domain read the platform often.
+	readers = 2
 	// drainPoll is how often a draining gateway looks whether its work has ended.
 	drainPoll = 20 * time.Millisecond
 	// stopTimeout bounds the end of the caller's port.
@@ -73,7 +77,9 @@
 	transport  *http.Transport
 	listeners  Listeners
 	endpoints  atomic.Int64
-	draining   atomic.Bool
+	// readBy is set while others of the failure domain read the platform for this gateway.
+	readBy   atomic.Bool
+	draining atomic.Bool
 }
 
 // New returns a gateway on the listeners. It fails when its parts can't be set up.
@@ -88,7 +94,7 @@
 	}
 	g := &Gateway{
 		settings: s, log: logger, listeners: l,
-		supervisor: suture.New("gateway", suture.Spec{PassThroughPanics: true}),
+		supervisor: supervision.New("gateway", logger),
 		transport:  &http.Transport{MaxIdleConnsPerHost: 4},
 	}
 	incarnation := uuid.NewString()
@@ -100,7 +106,7 @@
 	shares := sharer.New(self, sharer.Options{Lag: s.Limits.Lag, Pause: s.Limits.Pause})
 	g.admitter = admitter.New(s.Name, shares, limiter.New(shares, limiter.Equal))
 	client := platform.New(s.Platform.URL, s.Name, &http.Client{Transport: g.transport})
-	g.configurer = configurer.New(client, s.Platform.Poll, logger, g.accepted, g.listed)
+	g.configurer = configurer.New(client, s.Platform.Poll, logger, g.accepted, g.listed, g.relaxed)
 	g.gossiper = gossiper.New(s.Name, incarnation, credentials, g.admitter, g.configurer, g.driver)
 	g.admitter.Lend(g.gossiper)
 	g.server, err = server.New(server.Options{Body: s.Callers.Body, Slow: s.Callers.Slow, First: s.Route.First}, g.configurer.Current, g.admitter, g.driver, g.requester)
@@ -126,6 +132,7 @@
 
 func (g *Gateway) supervise(c *credential.Credential) {
 	g.supervisor.Add(g.driver)
+	g.supervisor.Add(g.admitter)
 	g.supervisor.Add(g.configurer)
 	g.supervisor.Add(g.gossiper)
 	g.supervisor.Add(fleet.NewServer(g.listeners.Fleet, c, &handler{gossiper: g.gossiper}))
@@ -215,6 +222,7 @@
 		asked = time.Time{}
 	}
 	view.Members = sortedUnique(view.Members)
+	g.assignReaders(v.VMs)
 	g.gossiper.Update(v.VMs)
 	g.driver.Update(endpoints)
 	g.requester.Update(endpoints)
@@ -222,6 +230,29 @@
 	g.endpoints.Store(int64(len(endpoints)))
 }
 
+// relaxed tells whether others of the failure domain read the platform for this gateway: only the first few by
+// rendezvous rank read often, so that the platform's calls do not grow with the fleet.
+func (g *Gateway) relaxed() bool {
+	return g.readBy.Load() && g.admitter.State().Grown
+}
+
+// assignReaders finds out whether this gateway is one of its domain's readers.
+func (g *Gateway) assignReaders(vms []platform.VM) {
+	var nodes []ranker.Node
+	for _, v := range vms {
+		if v.Kind == platform.KindGateway && v.Domain == g.settings.Domain {
+			nodes = append(nodes, ranker.Node{ID: v.ID})
+		}
+	}
+	for i, n := range ranker.Rank("readers", nodes) {
+		if n.ID == g.settings.Name {
+			g.readBy.Store(i >= readers)
+			return
+		}
+	}
+	g.readBy.Store(false)
+}
+
 // handler serves the fleet protocol for a gateway.
 type handler struct {
 	gossiper *gossiper.Gossiper
--- a/gateway/gossiper/gossiper.go
+++ b/gateway/gossiper/gossiper.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,8 +20,11 @@
 )
 
 const (
-	// every is the time between two rounds.
-	every = 250 * time.Millisecond
+	// every is the time between two rounds. Each round asks one gateway, whatever their number: news reaches
+	// all in about log2 of it rounds, and the traffic of a gateway does not grow with the fleet.
+	every = 500 * time.Millisecond
+	// spread bounds how far a round is moved at random, so that the gateways do not ask in step.
+	spread = 100 * time.Millisecond
 	// callTimeout bounds one exchange.
 	callTimeout = time.Second
 	// debitTimeout bounds one debit.
@@ -40,7 +45,9 @@
 	// asked is closed once every listed gateway was asked after the first VM list.
 	asked  chan struct{}
 	rounds int
-	wg     sync.WaitGroup
+	// pulling is set while newer lists are being asked for.
+	pulling atomic.Bool
+	wg      sync.WaitGroup
 }
 
 type peer struct {
@@ -87,18 +94,19 @@
 	return g.asked
 }
 
-// Serve exchanges state with every other gateway until the context ends.
+// Serve exchanges state with other gateways until the context ends.
 func (g *Gossiper) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		g.round(ctx)
 		select {
 		case <-ctx.Done():
 			g.wg.Wait()
 			g.close()
 			return ctx.Err()
-		case <-ticker.C:
+		case <-timer.C:
+			g.round(ctx)
+			timer.Reset(every - spread + rand.N(2*spread))
 		}
 	}
 }
@@ -144,15 +152,34 @@
 	return p, ok
 }
 
-// round asks every other gateway at once, none twice at a time.
-func (g *Gossiper) round(ctx context.Context) {
-	g.admitter.Tick()
+// partners chooses whom to ask: one gateway at random, and all that must answer before the share may grow.
+func (g *Gossiper) partners() map[string]peer {
+	unanswered := g.admitter.Unanswered()
 	g.mu.Lock()
-	peers := make(map[string]peer, len(g.peers))
+	defer g.mu.Unlock()
+	out := make(map[string]peer)
+	for _, name := range unanswered {
+		if p, ok := g.peers[name]; ok {
+			out[name] = p
+		}
+	}
+	if len(out) > 0 || len(g.peers) == 0 {
+		return out
+	}
+	skip := rand.IntN(len(g.peers))
 	for name, p := range g.peers {
-		peers[name] = p
+		if skip == 0 {
+			out[name] = p
+			break
+		}
+		skip--
 	}
-	g.mu.Unlock()
+	return out
+}
+
+// round asks the partners at once.
+func (g *Gossiper) round(ctx context.Context) {
+	peers := g.partners()
 	listed := len(g.admitter.State().Members) > 0
 	var round sync.WaitGroup
 	for name, p := range peers {
@@ -191,6 +218,9 @@
 func (g *Gossiper) answer(p *fleet.Peer, m fleet.Gossip) fleet.Gossip {
 	g.take(m)
 	reply := g.message()
+	if m.Plans > reply.Plans || m.Uses > reply.Uses || m.VMs > reply.VMs {
+		g.pull(p.Name)
+	}
 	reply.Lists = g.configurer.Newer(m.Plans, m.Uses, m.VMs)
 	if share, ok := g.admitter.Receive(m.Share.Message(p.Name)); ok {
 		reply.Share = fleet.ShareFrom(share)
@@ -198,6 +228,18 @@
 	return reply
 }
 
+// pull asks a gateway that holds newer lists, without waiting for the next round.
+func (g *Gossiper) pull(name string) {
+	p, ok := g.peer(name)
+	if !ok || !g.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	g.wg.Go(func() {
+		defer g.pulling.Store(false)
+		g.exchange(context.Background(), name, p)
+	})
+}
+
 func (g *Gossiper) take(m fleet.Gossip) {
 	g.configurer.Offer(m.Lists)
 	g.driver.Merge(fleet.LocalBlames(m.Blames))
--- a/pkg/limiter/model_test.go
+++ b/pkg/limiter/model_test.go
@@ -73,6 +73,8 @@
 type packet struct {
 	to      string
 	message sharer.Message
+	// view is what the sender gossips with the message.
+	view sharer.View
 }
 
 type admission struct {
@@ -192,24 +194,27 @@
 		if w.mutant == unasked {
 			fake := p.sharer.Question(w.clock(p))
 			fake.From.Name, fake.Answer, fake.Asker = m, true, fake.From.Incarnation
-			w.receive(p, fake)
+			w.receive(p, fake, sharer.View{})
 			continue
 		}
 		other := w.processes[m]
 		if m == p.name || other == nil || other.paused || w.cut[[2]string{p.name, m}] {
 			continue
 		}
-		reply, ok := w.receive(other, p.sharer.Question(w.clock(p)))
+		reply, ok := w.receive(other, p.sharer.Question(w.clock(p)), p.sharer.View())
 		if ok && !w.cut[[2]string{m, p.name}] {
-			w.receive(p, reply)
+			w.receive(p, reply, other.sharer.View())
 		}
 	}
 }
 
-// receive gives a message to a running process.
-func (w *world) receive(p *process, m sharer.Message) (reply sharer.Message, answered bool) {
+// receive gives a message to a running process, and now and then the sender's list with it.
+func (w *world) receive(p *process, m sharer.Message, view sharer.View) (reply sharer.Message, answered bool) {
 	w.check(p)
 	before := p.sharer.Generation()
+	if w.next%2 == 0 {
+		p.sharer.Observe(view, w.clock(p))
+	}
 	reply, answered = p.sharer.Receive(m, w.clock(p))
 	w.resize(p, before)
 	return reply, answered
@@ -306,7 +311,7 @@
 	w.check(p)
 	for _, m := range p.sharer.View().Members {
 		if m != p.name {
-			w.packets = append(w.packets, packet{to: m, message: p.sharer.Question(w.clock(p))})
+			w.packets = append(w.packets, packet{to: m, message: p.sharer.Question(w.clock(p)), view: p.sharer.View()})
 		}
 	}
 }
@@ -325,8 +330,8 @@
 	if p == nil || p.paused || c.choose(8, "drop") == 0 {
 		return
 	}
-	if reply, ok := w.receive(p, pk.message); ok {
-		w.packets = append(w.packets, packet{to: pk.message.From.Name, message: reply})
+	if reply, ok := w.receive(p, pk.message, pk.view); ok {
+		w.packets = append(w.packets, packet{to: pk.message.From.Name, message: reply, view: p.sharer.View()})
 	}
 }
 
@@ -359,7 +364,8 @@
 func (w *world) edit(name string, c chooser) {
 	members := slices.Clone(w.lists[len(w.lists)-1].Members)
 	if i := slices.Index(members, name); i >= 0 {
-		if len(members) == 1 {
+		if len(members) == 1 || c.choose(4, "same") == 0 {
+			w.publish(members)
 			return
 		}
 		w.publish(slices.Delete(members, i, i+1))
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -33,12 +33,14 @@
 	Incarnation uint64
 }
 
-// Message is a question or an answer between holders. Both carry the sender's newest view.
+// Message is a question or an answer between holders. It names the sender's newest view only by its version, so
+// that its size does not grow with the list; the list itself comes from the platform or by gossip.
 type Message struct {
 	From Member
 	// Answer is set on answers.
 	Answer bool
-	View   View
+	// Version is that of the sender's newest view.
+	Version uint64
 	// Asked is the asker's clock when it asked, echoed by the answer.
 	Asked time.Duration
 	// Asker is the incarnation that asked, echoed by the answer.
@@ -95,6 +97,20 @@
 	return s.views[len(s.views)-1]
 }
 
+// Unanswered lists the other holders that have not answered for the newest view; none once the share has grown.
+func (s *Sharer) Unanswered() []string {
+	if s.Grown() {
+		return nil
+	}
+	var out []string
+	for _, name := range s.View().Members {
+		if name != s.self.Name && !s.answers[name] {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Grown tells whether the holder uses its whole target under the newest view.
 func (s *Sharer) Grown() bool {
 	return s.grown && len(s.views) == 1
@@ -120,6 +136,11 @@
 	if v.Version <= s.View().Version {
 		return
 	}
+	if s.Grown() && slices.Equal(v.Members, s.View().Members) {
+		// Whoever grew under a list in between needed an answer for it from here, and got none.
+		s.views = []View{v}
+		return
+	}
 	s.views = append(s.views, v)
 	if !s.grown {
 		s.views = s.views[len(s.views)-1:]
@@ -163,7 +184,6 @@
 
 // Receive takes in a message; for a question it returns the answer to send back.
 func (s *Sharer) Receive(m Message, now time.Duration) (reply Message, answered bool) {
-	s.Observe(m.View, now)
 	if !m.Answer {
 		reply = s.message(now)
 		reply.Answer = true
@@ -184,12 +204,12 @@
 }
 
 func (s *Sharer) message(now time.Duration) Message {
-	return Message{From: s.self, View: s.View(), Asked: now}
+	return Message{From: s.self, Version: s.View().Version, Asked: now}
 }
 
 // accept keeps a direct answer to a question that was asked after the present view was applied.
 func (s *Sharer) accept(m Message) {
-	if m.View.Version != s.View().Version || m.Asked < max(s.applied, s.wokeAt) {
+	if m.Version != s.View().Version || m.Asked < max(s.applied, s.wokeAt) {
 		return
 	}
 	s.answers[m.From.Name] = true
--- a/pkg/sharer/sharer_test.go
+++ b/pkg/sharer/sharer_test.go
@@ -28,7 +28,7 @@
 // hears of an old list, on which it stood alone, from a late message.
 func TestRestartedHolderIgnoresStaleList(t *testing.T) {
 	s := newHolder("g2", 7)
-	s.Receive(Message{From: Member{Name: "g1", Incarnation: 2}, View: View{Version: 3, Members: []string{"g2"}}}, 0)
+	s.Observe(View{Version: 3, Members: []string{"g2"}}, 0)
 	s.Check(0, 0)
 	for now := time.Duration(0); now <= 10*time.Second; now += pause / 2 {
 		s.Check(now, now)
@@ -47,7 +47,7 @@
 	woke := 10 * time.Second
 	s.Check(woke, woke)
 	s.Heard(woke, woke)
-	answer := Message{From: Member{Name: "g1", Incarnation: 1}, Answer: true, View: v, Asked: woke, Asker: 1}
+	answer := Message{From: Member{Name: "g1", Incarnation: 1}, Answer: true, Version: v.Version, Asked: woke, Asker: 1}
 	s.Receive(answer, woke)
 	for now := woke; now <= woke+10*time.Second; now += pause / 2 {
 		s.Check(now, now)
--- a/service/fleet/client.go
+++ b/service/fleet/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,15 @@
 
 const dialTimeout = 2 * time.Second
 
+// Traffic counts messages and their bytes, without what TLS and TCP add.
+type Traffic struct {
+	Messages atomic.Uint64
+	Bytes    atomic.Uint64
+}
+
+// Sent counts all that this process sent to others of the fleet.
+var Sent Traffic
+
 // KeepAlive finds a peer that is gone without a word within about three seconds.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
@@ -154,6 +164,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode message")
 	}
+	Sent.Messages.Add(1)
+	Sent.Bytes.Add(uint64(len(data) + 1))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, err = s.conn.Write(append(data, '\n'))
--- a/service/fleet/convert.go
+++ b/service/fleet/convert.go
@@ -11,7 +11,7 @@
 func ShareFrom(m sharer.Message) Share {
 	return Share{
 		Name: m.From.Name, Incarnation: m.From.Incarnation, Answer: m.Answer,
-		View: m.View.Version, Members: m.View.Members,
+		View:  m.Version,
 		Asked: m.Asked, Asker: m.Asker,
 	}
 }
@@ -21,8 +21,8 @@
 func (s Share) Message(name string) sharer.Message {
 	return sharer.Message{
 		From: sharer.Member{Name: name, Incarnation: s.Incarnation}, Answer: s.Answer,
-		View:  sharer.View{Version: s.View, Members: s.Members},
-		Asked: s.Asked, Asker: s.Asker,
+		Version: s.View,
+		Asked:   s.Asked, Asker: s.Asker,
 	}
 }
 
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -173,7 +173,6 @@
 	Incarnation uint64        `json:"incarnation"`
 	Answer      bool          `json:"answer,omitempty"`
 	View        uint64        `json:"view"`
-	Members     []string      `json:"members"`
 	Asked       time.Duration `json:"asked"`
 	Asker       uint64        `json:"asker,omitempty"`
 }
--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -18,8 +19,12 @@
 	"github.com/pistachiovane/pistachiovane/pkg/credential"
 )
 
-// maxMessage bounds one message in bytes.
-const maxMessage = 8 << 20
+const (
+	// maxMessage bounds one message in bytes.
+	maxMessage = 8 << 20
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 20 * time.Millisecond
+)
 
 // quiet keeps the library from logging each connection that ends; callers see the error.
 var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
@@ -83,11 +88,16 @@
 func (s *Server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
 	defer stop()
-	for {
+	for ctx.Err() == nil {
 		conn, err := s.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			break
 		}
+		if err != nil {
+			// Out of file descriptors, say: the listener itself is still good.
+			pause(ctx, acceptPause)
+			continue
+		}
 		s.mu.Lock()
 		s.conns[conn] = struct{}{}
 		s.mu.Unlock()
@@ -116,6 +126,13 @@
 	s.handler.Gone(peer)
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (s *Server) drop(conn net.Conn) {
 	_ = conn.Close()
 	s.mu.Lock()
--- /dev/null
+++ b/service/fleet/server_test.go
@@ -0,0 +1,88 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/pkg/credential"
+)
+
+type echo struct{}
+
+func (echo) Serve(_ context.Context, p *Peer, method string, _ json.RawMessage) (any, error) {
+	return p.Name + " " + method, nil
+}
+
+func (echo) Gone(*Peer) {}
+
+// starved is a listener that can't accept at first, as one without file descriptors.
+type starved struct {
+	net.Listener
+	failures int
+}
+
+func (s *starved) Accept() (net.Conn, error) {
+	if s.failures > 0 {
+		s.failures--
+		return nil, syscall.EMFILE
+	}
+	return s.Listener.Accept()
+}
+
+func serve(t *testing.T, l net.Listener, secret string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = NewServer(l, newCredential(t, secret, "server"), echo{}).Serve(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func newCredential(t *testing.T, secret, name string) *credential.Credential {
+	t.Helper()
+	c, err := credential.New([]byte(secret), name, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// TestServerOutlivesFailedAccepts is for the fault that a process out of file descriptors gave up its fleet port.
+func TestServerOutlivesFailedAccepts(t *testing.T) {
+	l := listen(t)
+	serve(t, &starved{Listener: l, failures: 3}, "secret of this fleet")
+	c := NewClient(l.Addr().String(), "1", newCredential(t, "secret of this fleet", "client"), nil, nil)
+	defer c.Close()
+	var got string
+	if err := c.Call(context.Background(), "hear", struct{}{}, &got); err != nil || got != "client hear" {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
+
+// TestOtherSecretIsNotServed calls with the credentials of another fleet.
+func TestOtherSecretIsNotServed(t *testing.T) {
+	l := listen(t)
+	serve(t, l, "secret of this fleet")
+	c := NewClient(l.Addr().String(), "1", newCredential(t, "another fleet's secret", "client"), nil, nil)
+	defer c.Close()
+	if err := c.Call(context.Background(), "hear", struct{}{}, nil); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want %v", err, ErrNotSent)
+	}
+}
--- a/standin/assembler/assembler.go
+++ b/standin/assembler/assembler.go
@@ -43,6 +43,8 @@
 	// Lag and Pause are the bounds of the sharing of limits.
 	Lag   time.Duration
 	Pause time.Duration
+	// Poll is the time between reads of the VM list.
+	Poll time.Duration
 	// Slow is the longest time that a caller may take to send a request.
 	Slow time.Duration
 	Log  *log.Logger
@@ -59,7 +61,7 @@
 			{Name: "potter", Key: "potter-key", Rate: 15000, Burst: 30000, Weight: 1},
 		},
 		Speed: 1, Engine: model.DefaultSettings(),
-		Lag: 200 * time.Millisecond, Pause: time.Second, Slow: 10 * time.Second,
+		Lag: 200 * time.Millisecond, Pause: time.Second, Slow: 10 * time.Second, Poll: 100 * time.Millisecond,
 		Log: &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 	}
 }
@@ -294,7 +296,7 @@
 	s.Name, s.Domain = name, f.domain(i)
 	s.Fleet.Secret = f.secret
 	s.Platform.URL = f.url
-	s.Platform.Poll = 100 * time.Millisecond
+	s.Platform.Poll = f.options.Poll
 	s.Callers.Slow = f.options.Slow
 	s.Limits = settings.Limits{Lag: f.options.Lag, Pause: f.options.Pause}
 	s.Route.Prefill = f.options.Engine.PrefillRate * f.options.Speed
