--- /dev/null
+++ b/pkg/parser/parser_test.go
@@ -0,0 +1,80 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+)
+
+const uses = "[list]\nversion = 1\n[plan p]\nroutes = r\n[route r]\nkind = model\ntarget = m\n"
+
+func plansOf(accounts int) string {
+	var b strings.Builder
+	b.WriteString("[list]\nversion = 1\n")
+	for i := range accounts {
+		fmt.Fprintf(&b, "[account a%d]\nplan = p\nkeys = %064x\nrate = 1000\nburst = 20000\n", i, i+1)
+	}
+	return b.String()
+}
+
+func parse(t testing.TB, plans string) *catalog.Catalog {
+	t.Helper()
+	c, findings := Parse(Text{Name: "plans", Body: []byte(plans)}, Text{Name: "uses", Body: []byte(uses)})
+	if len(findings) > 0 {
+		t.Fatal(findings[:min(5, len(findings))])
+	}
+	return c
+}
+
+func TestLookups(t *testing.T) {
+	c := parse(t, plansOf(3))
+	if a, ok := c.ByKey(catalog.Digest{31: 2}); !ok || a.Name != "a1" {
+		t.Errorf("key 2 belongs to %v", a)
+	}
+	if _, ok := c.Allowed("p", catalog.RouteModel, "m"); !ok {
+		t.Error("plan p does not allow model m")
+	}
+	if _, ok := c.Allowed("p", catalog.RouteModel, "other"); ok {
+		t.Error("plan p allows another model")
+	}
+}
+
+// FuzzParse looks for texts that make the parser panic, or that it accepts though an account is not usable.
+func FuzzParse(f *testing.F) {
+	f.Add(plansOf(2), uses)
+	f.Add("[account a]\nplan=p\nplan=q\nrate=NaN\nburst=1e400\nkeys=,", "[route r]\nkind=open\n[plan")
+	f.Fuzz(func(t *testing.T, plans, uses string) {
+		c, findings := Parse(Text{Name: "plans", Body: []byte(plans)}, Text{Name: "uses", Body: []byte(uses)})
+		if (c == nil) != (len(findings) > 0) {
+			t.Fatalf("catalog %v with findings %v", c, findings)
+		}
+		if c == nil {
+			return
+		}
+		for _, a := range c.Accounts() {
+			if !(a.Rate > 0) || !(a.Burst > 0) || !(a.Weight > 0) || len(a.Keys) == 0 {
+				t.Fatalf("accepted account %+v", a)
+			}
+		}
+	})
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{1000, 4000, 6000} {
+		text := plansOf(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				parse(b, text)
+			}
+		})
+	}
+}
+
+func BenchmarkByKey(b *testing.B) {
+	c := parse(b, plansOf(6000))
+	for b.Loop() {
+		c.ByKey(catalog.DigestOf("key-of-a-caller"))
+	}
+}
--- a/standin/assembler/assembler.go
+++ b/standin/assembler/assembler.go
@@ -72,7 +72,9 @@
 	// Engine and Plain are what stands behind an agent; one of them is nil.
 	Engine *engine.Engine
 	Plain  *plain.Plain
-	Agent  *agent.Agent
+	// Service is the base URL of the plain service.
+	Service string
+	Agent   *agent.Agent
 	// Gateway and Callers are set for a gateway.
 	Gateway *gateway.Gateway
 	Callers string
@@ -268,6 +270,7 @@
 	}
 	if role == endpoint.Plain {
 		s.Service.URL = url
+		n.Service = url
 	} else {
 		s.Engine.URL = url
 		s.Engine.Slots, s.Engine.Pieces = f.options.Engine.Slots, f.options.Engine.Pieces
--- /dev/null
+++ b/standin/assembler/overhead_test.go
@@ -0,0 +1,90 @@
+package assembler
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
+)
+
+const (
+	overheadRate = 500
+	overheadFor  = 5 * time.Second
+)
+
+// BenchmarkOverhead reads from a plain service at 500 requests a second, through gateway and agent and directly in
+// turn, and reports both and what the detour adds.
+func BenchmarkOverhead(b *testing.B) {
+	o := DefaultOptions()
+	o.Accounts[0].Rate = 1e6
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f, err := New(ctx, o)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	defer client.CloseIdleConnections()
+	direct := ""
+	for _, n := range f.Agents {
+		if n.vm.Role == endpoint.Plain.String() {
+			direct = n.Service
+		}
+	}
+	for b.Loop() {
+		through := latencies(b, client, f.Gateways[0].Callers+"/v1/services/bookings/seats", "studio-key")
+		alone := latencies(b, client, direct+"/calls/seats", "")
+		b.ReportMetric(at(through, 0.5), "p50-through-ms")
+		b.ReportMetric(at(alone, 0.5), "p50-direct-ms")
+		b.ReportMetric(at(through, 0.99), "p99-through-ms")
+		b.ReportMetric(at(alone, 0.99), "p99-direct-ms")
+	}
+}
+
+// latencies sends reads at a steady rate and returns their times, sorted; each counts from its intended send time.
+func latencies(b *testing.B, client *http.Client, url, key string) []time.Duration {
+	b.Helper()
+	var mu sync.Mutex
+	var out []time.Duration
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range int(overheadFor.Seconds() * overheadRate) {
+		intended := start.Add(time.Duration(i) * time.Second / overheadRate)
+		time.Sleep(time.Until(intended))
+		wg.Go(func() {
+			req, err := http.NewRequest(http.MethodGet, url, http.NoBody)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			req.Header.Set("Authorization", "Bearer "+key)
+			resp, err := client.Do(req)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				b.Errorf("read: %v", err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, time.Since(intended))
+		})
+	}
+	wg.Wait()
+	slices.Sort(out)
+	return out
+}
+
+// at returns a quantile in milliseconds.
+func at(sorted []time.Duration, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[int(q*float64(len(sorted)-1))].Microseconds()) / 1000
+}
