Take lists in parts behind a manifest

Cause: 16,000 accounts make a list of 2.6 MB, and a value holds 1 MB; gateways never became ready with them. Change: a list may name parts; all must be of the manifest's version, else none is taken.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -103,7 +103,7 @@
 func spread(ctx context.Context, f *assembler.Fleet, accounts []assembler.Account) (float64, error) {
 	accounts[0].Rate++
 	start := time.Now()
-	f.Platform.Publish("plans", 2, assembler.PlansText(2, accounts))
+	f.PublishPlans(2, accounts)
 	for _, g := range f.Gateways {
 		for g.Plans() != 2 {
 			if ctx.Err() != nil {
--- a/gateway/configurer/configurer.go
+++ b/gateway/configurer/configurer.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,8 +163,46 @@
 			sleep(ctx, retryWait/10)
 			continue
 		}
-		c.offer(fleet.List{Name: name, Version: v.Version, Text: v.Text})
+		whole, err := c.join(ctx, v)
+		if err != nil {
+			c.log.Warn().Str("list", name).Uint64("version", v.Version).Err(err).Msg("config: parts do not fit yet")
+			sleep(ctx, retryWait)
+			continue
+		}
+		c.offer(fleet.List{Name: name, Version: v.Version, Text: whole})
+	}
+}
+
+// PartError is a part of a list that is not of the version that its manifest names.
+type PartError struct {
+	Part string
+	// Want and Got are the versions of the manifest and of the part.
+	Want uint64
+	Got  uint64
+}
+
+// Error names the part and the versions.
+func (e *PartError) Error() string {
+	return fmt.Sprintf("part %s has version %d, its manifest %d", e.Part, e.Got, e.Want)
+}
+
+// join appends the parts that a manifest names, all of its own version, or fails: a list is taken whole or not at
+// all.
+func (c *Configurer) join(ctx context.Context, manifest platform.Value) (string, error) {
+	whole := strings.Builder{}
+	whole.WriteString(manifest.Text)
+	for _, name := range parser.Parts(parser.Text{Name: manifest.Name, Body: []byte(manifest.Text)}) {
+		part, err := c.client.Value(ctx, name, 0, 0)
+		if err != nil {
+			return "", err
+		}
+		if part.Version != manifest.Version {
+			return "", &PartError{Part: name, Want: manifest.Version, Got: part.Version}
+		}
+		whole.WriteString("\n")
+		whole.WriteString(part.Text)
 	}
+	return whole.String(), nil
 }
 
 // pause stretches the time between reads while others read for this gateway.
--- a/gateway/configurer/configurer_test.go
+++ b/gateway/configurer/configurer_test.go
@@ -1,16 +1,20 @@
 package configurer
 
 import (
+	"fmt"
 	"io"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/pkg/catalog"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
 	"github.com/pistachiovane/pistachiovane/service/platform"
+	standin "github.com/pistachiovane/pistachiovane/standin/platform"
 )
 
 const (
@@ -59,6 +63,34 @@
 	}
 }
 
+// TestPartsAreTakenTogether reads a list in parts, one of which is of the version before at first.
+func TestPartsAreTakenTogether(t *testing.T) {
+	service := standin.New()
+	server := httptest.NewServer(service.Handler())
+	defer server.Close()
+	c, _ := newConfigurer(t)
+	c.client = platform.New(server.URL, "gw", server.Client())
+	manifest := platform.Value{Name: Plans, Version: 2, Text: "[list]\nversion = 2\nparts = plans.1, plans.2\n"}
+	account := func(name string, key int) string {
+		return fmt.Sprintf("[account %s]\nplan = p\nkeys = %064x\nrate = 1\nburst = 1\n", name, key)
+	}
+	service.Publish("plans.1", 2, account("a", 1))
+	service.Publish("plans.2", 1, account("old", 9))
+	var part *PartError
+	if _, err := c.join(t.Context(), manifest); !errors.As(err, &part) || part.Part != "plans.2" {
+		t.Fatalf("error %v, want one that names plans.2", err)
+	}
+	service.Publish("plans.2", 2, account("b", 2))
+	whole, err := c.join(t.Context(), manifest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Offer([]fleet.List{{Name: Uses, Version: 1, Text: uses1}, {Name: Plans, Version: 2, Text: whole}})
+	if got := len(c.Current().Accounts()); got != 2 {
+		t.Errorf("%d accounts in force, want 2; findings: %v", got, c.State().Findings)
+	}
+}
+
 // TestNeverBack tries to turn the version in force back past the check of what was offered.
 func TestNeverBack(t *testing.T) {
 	c, _ := newConfigurer(t)
--- a/pkg/inifile/inifile.go
+++ b/pkg/inifile/inifile.go
@@ -12,8 +12,8 @@
 	"github.com/pistachiovane/pistachiovane/pkg/finding"
 )
 
-// MaxBytes is the largest file accepted, the platform's bound on a value.
-const MaxBytes = 1 << 20
+// MaxBytes is the largest text accepted: a list of the largest fleet, joined from its parts.
+const MaxBytes = 16 << 20
 
 // File is INI text that was read.
 type File struct {
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -74,6 +74,16 @@
 	return 0, false
 }
 
+// Parts returns the names of the values that hold the rest of a list; none for a list in one value.
+func Parts(t Text) []string {
+	for _, s := range inifile.New(t.Name, t.Body).Sections() {
+		if s.Name == "list" {
+			return s.Words("parts")
+		}
+	}
+	return nil
+}
+
 func (p *Parser) readUses() {
 	for _, s := range p.uses.Sections() {
 		switch kind, name := s.Split(); kind {
@@ -183,6 +193,7 @@
 }
 
 func readVersion(s *inifile.Section) uint64 {
+	s.Words("parts")
 	v, err := strconv.ParseUint(s.Required("version"), 10, 64)
 	if err != nil || v == 0 {
 		s.Fault("version", "is not a whole number above zero")
--- a/pkg/parser/parser_test.go
+++ b/pkg/parser/parser_test.go
@@ -62,7 +62,7 @@
 }
 
 func BenchmarkParse(b *testing.B) {
-	for _, n := range []int{1000, 4000, 6000} {
+	for _, n := range []int{1000, 4000, 16000} {
 		text := plansOf(n)
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
--- a/standin/assembler/assembler.go
+++ b/standin/assembler/assembler.go
@@ -212,7 +212,7 @@
 		return err
 	}
 	f.url = listener
-	f.Platform.Publish("plans", 1, PlansText(1, f.options.Accounts))
+	f.PublishPlans(1, f.options.Accounts)
 	f.Platform.Publish("uses", 1, UsesText(1, f.options.Model, f.options.Service))
 	roles := []struct {
 		role  endpoint.Role
--- a/standin/assembler/lists.go
+++ b/standin/assembler/lists.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/pistachiovane/pistachiovane/pkg/catalog"
@@ -17,10 +18,32 @@
 	Weight int
 }
 
+// partAccounts is how many accounts one value of the platform holds; more come in parts.
+const partAccounts = 4000
+
+// PublishPlans publishes the plans of the accounts, in parts where they do not fit one value: the parts first, then
+// the manifest that names them.
+func (f *Fleet) PublishPlans(version uint64, accounts []Account) {
+	if len(accounts) <= partAccounts {
+		f.Platform.Publish("plans", version, PlansText(version, accounts))
+		return
+	}
+	var names []string
+	for part := range slices.Chunk(accounts, partAccounts) {
+		name := fmt.Sprintf("plans.%d", len(names)+1)
+		f.Platform.Publish(name, version, accountsText(part))
+		names = append(names, name)
+	}
+	f.Platform.Publish("plans", version, fmt.Sprintf("[list]\nversion = %d\nparts = %s\n", version, strings.Join(names, ", ")))
+}
+
 // PlansText returns the plans list of the accounts.
 func PlansText(version uint64, accounts []Account) string {
+	return fmt.Sprintf("[list]\nversion = %d\n", version) + accountsText(accounts)
+}
+
+func accountsText(accounts []Account) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[list]\nversion = %d\n", version)
 	for _, a := range accounts {
 		d := catalog.DigestOf(a.Key)
 		fmt.Fprintf(&b, "\n[account %s]\nplan = standard\nkeys = %s\nrate = %d\nburst = %d\nweight = %d\n",
