--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -27,6 +27,9 @@
 	maxKeys = 16
 )
 
+// listSection is the section that holds the version of a list.
+const listSection = "list"
+
 var word = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
 // Text is the text of one list.
@@ -65,7 +68,7 @@
 // Version returns the version that a list names; ok is false when it names none.
 func Version(t Text) (version uint64, ok bool) {
 	for _, s := range inifile.New(t.Name, t.Body).Sections() {
-		if s.Name != "list" {
+		if s.Name != listSection {
 			continue
 		}
 		version, err := strconv.ParseUint(s.String("version", ""), 10, 64)
@@ -77,7 +80,7 @@
 // Parts returns the names of the values that hold the rest of a list; none for a list in one value.
 func Parts(t Text) []string {
 	for _, s := range inifile.New(t.Name, t.Body).Sections() {
-		if s.Name == "list" {
+		if s.Name == listSection {
 			return s.Words("parts")
 		}
 	}
@@ -87,7 +90,7 @@
 func (p *Parser) readUses() {
 	for _, s := range p.uses.Sections() {
 		switch kind, name := s.Split(); kind {
-		case "list":
+		case listSection:
 			p.versions[1] = readVersion(s)
 		case "route":
 			p.readRoute(s, name)
@@ -142,7 +145,7 @@
 	}
 	for _, s := range p.plans.Sections() {
 		switch kind, name := s.Split(); kind {
-		case "list":
+		case listSection:
 			p.versions[0] = readVersion(s)
 		case "account":
 			p.readAccount(s, name, known)
--- a/pkg/settings/specs.go
+++ b/pkg/settings/specs.go
@@ -75,7 +75,7 @@
 // Reference returns the settings reference in Markdown.
 func Reference() string {
 	var b strings.Builder
-	b.WriteString("# Settings\n\nGenerated from the code by `go generate ./pkg/settings`; do not edit.\n\n")
+	b.WriteString("# Settings\n\nGenerated from the code by `UPDATE_GOLDEN=1 go test ./pkg/settings`; do not edit.\n\n")
 	b.WriteString("| section | key | kind | default | bounds | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
 	for i := range specs {
 		s := &specs[i]
