Give small accounts of large fleets a home in each failure domain; test the dispatcher alone

Cause: an equal share among 330 gateways holds less than one request of most accounts. The version of a list was found by parsing all of it. Change: above 12 gateways an account's limit lies with one home in each domain by rendezvous hashing; the sharer is unchanged. The version is read from its section alone. Conclusion: nearly all of a burst can be spent at one gateway of 1, 4 and 60 (test).

--- a/gateway/admitter/admitter.go
+++ b/gateway/admitter/admitter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -125,7 +126,10 @@
 func (a *Admitter) try(ctx context.Context, account string, tokens float64) (Settlement, *Refusal) {
 	a.mu.Lock()
 	ticket, verdict, wait := a.limiter.Admit(account, tokens, a.now(), wall())
-	others := a.others(account)
+	var others []string
+	if verdict == limiter.Short {
+		others = a.others(account)
+	}
 	if verdict == limiter.Granted {
 		a.stats.Own++
 	}
@@ -318,16 +322,28 @@
 	a.limiter.Settle(p.ticket, unused, a.now())
 }
 
-// others lists the other gateways, the one that granted the account's last debit first.
+// others lists the other gateways that hold shares of the account: the one that granted its last debit, then those
+// of the own failure domain.
 func (a *Admitter) others(account string) []string {
 	var out []string
-	for _, m := range a.sharer.View().Members {
+	view := a.sharer.View()
+	for _, m := range limiter.Homes(view, account) {
 		if m != a.self {
 			out = append(out, m)
 		}
 	}
-	lucky := a.lucky[account]
-	sort.SliceStable(out, func(i, j int) bool { return out[i] == lucky && out[j] != lucky })
+	lucky, domain := a.lucky[account], domainOf(view, a.self)
+	rank := func(name string) int {
+		switch {
+		case name == lucky:
+			return 0
+		case domainOf(view, name) == domain:
+			return 1
+		default:
+			return 2
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return rank(out[i]) < rank(out[j]) })
 	return out
 }
 
@@ -343,6 +359,14 @@
 	}
 }
 
+// domainOf returns the failure domain of a member of a view; empty when it is not known.
+func domainOf(v sharer.View, name string) string {
+	if i, ok := slices.BinarySearch(v.Members, name); ok && i < len(v.Domains) {
+		return v.Domains[i]
+	}
+	return ""
+}
+
 func (a *Admitter) now() time.Duration {
 	return time.Since(a.start)
 }
--- /dev/null
+++ b/gateway/admitter/admitter_test.go
@@ -0,0 +1,102 @@
+package admitter
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/limiter"
+	"github.com/pistachiovane/pistachiovane/pkg/sharer"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+)
+
+const (
+	rate  = 100.0
+	burst = 1000.0
+)
+
+// fleetOf is a set of admitters that lend to each other without a network, and count the debits.
+type fleetOf struct {
+	admitters map[string]*Admitter
+	debits    int
+}
+
+func (f *fleetOf) Debit(_ context.Context, name string, d fleet.Debit) (fleet.DebitAnswer, error) {
+	f.debits++
+	return f.admitters[name].Charge(d), nil
+}
+
+func (f *fleetOf) Settle(name string, s fleet.Settle) { f.admitters[name].Settled(s) }
+
+// newFleet returns grown admitters over one account whose buckets have had time to fill.
+func newFleet(t *testing.T, gateways, domains int) *fleetOf {
+	t.Helper()
+	f := &fleetOf{admitters: make(map[string]*Admitter)}
+	view := sharer.View{Version: 1}
+	for i := range gateways {
+		name := fmt.Sprintf("g%02d", i)
+		view.Members = append(view.Members, name)
+		view.Domains = append(view.Domains, fmt.Sprint("d", i%domains))
+	}
+	account := catalog.Account{Name: "a", Plan: "p", Rate: rate, Burst: burst, Weight: 1}
+	for i, name := range view.Members {
+		s := sharer.New(sharer.Member{Name: name, Incarnation: uint64(i)}, sharer.Options{Pause: time.Hour})
+		a := New(name, s, limiter.New(s, limiter.ByHome))
+		a.Lend(f)
+		a.Set(catalog.New(1, 1, []catalog.Account{account}, nil, nil))
+		f.admitters[name] = a
+		a.start = a.start.Add(-2 * time.Hour)
+		s.Observe(view, time.Minute)
+		for _, other := range view.Members {
+			question := s.Question(time.Minute)
+			s.Receive(sharer.Message{From: sharer.Member{Name: other}, Answer: true, Version: 1, Asked: question.Asked, Asker: uint64(i)}, time.Minute)
+		}
+		s.Heard(2*time.Minute, 90*time.Minute)
+		if !s.Grown() {
+			t.Fatal("the share has not grown")
+		}
+		a.limiter.Resize(90 * time.Minute)
+	}
+	return f
+}
+
+func admit(t *testing.T, f *fleetOf, name string, tokens float64) (Settlement, bool) {
+	t.Helper()
+	s, refusal := f.admitters[name].Admit(context.Background(), "a", tokens, 0)
+	return s, refusal == nil
+}
+
+// TestWholeBurstThroughOneGateway spends nearly all of the burst at one gateway of a small and of a large fleet.
+func TestWholeBurstThroughOneGateway(t *testing.T) {
+	for _, size := range [][2]int{{1, 1}, {4, 2}, {60, 6}} {
+		f := newFleet(t, size[0], size[1])
+		if _, ok := admit(t, f, "g00", 0.9*burst); !ok {
+			t.Errorf("%d gateways: 0.9 of the burst was refused at one of them", size[0])
+		}
+		if _, ok := admit(t, f, "g00", 0.5*burst); ok {
+			t.Errorf("%d gateways: 1.4 of the burst was admitted", size[0])
+		}
+		if f.debits > 2*6 {
+			t.Errorf("%d gateways: %d debits for two requests", size[0], f.debits)
+		}
+	}
+}
+
+// TestUnusedTokensReturnOnce settles a request twice and spends what came back.
+func TestUnusedTokensReturnOnce(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	settle, ok := admit(t, f, "g00", 0.9*burst)
+	if !ok {
+		t.Fatal("refused")
+	}
+	settle(0.8 * burst)
+	settle(0.8 * burst)
+	if _, ok := admit(t, f, "g01", 0.7*burst); !ok {
+		t.Error("what was returned can't be spent")
+	}
+	if _, ok := admit(t, f, "g02", 0.5*burst); ok {
+		t.Error("what was returned once was spent twice")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,7 +104,7 @@
 	g.requester = requester.New(g.linker)
 	self := sharer.Member{Name: s.Name, Incarnation: rand.Uint64()}
 	shares := sharer.New(self, sharer.Options{Lag: s.Limits.Lag, Pause: s.Limits.Pause})
-	g.admitter = admitter.New(s.Name, shares, limiter.New(shares, limiter.Equal))
+	g.admitter = admitter.New(s.Name, shares, limiter.New(shares, limiter.ByHome))
 	client := platform.New(s.Platform.URL, s.Name, &http.Client{Transport: g.transport})
 	g.configurer = configurer.New(client, s.Platform.Poll, logger, g.accepted, g.listed, g.relaxed)
 	g.gossiper = gossiper.New(s.Name, incarnation, credentials, g.admitter, g.configurer, g.driver)
@@ -208,6 +208,7 @@
 
 // listed brings a VM list into force in every part.
 func (g *Gateway) listed(v platform.VMs, asked time.Time, seen bool) {
+	domains := make(map[string]string)
 	view := sharer.View{Version: v.Version}
 	var endpoints []endpoint.Endpoint
 	for _, vm := range v.VMs {
@@ -216,12 +217,16 @@
 		}
 		if vm.Kind == platform.KindGateway {
 			view.Members = append(view.Members, vm.ID)
+			domains[vm.ID] = vm.Domain
 		}
 	}
 	if !seen {
 		asked = time.Time{}
 	}
 	view.Members = sortedUnique(view.Members)
+	for _, name := range view.Members {
+		view.Domains = append(view.Domains, domains[name])
+	}
 	g.assignReaders(v.VMs)
 	g.gossiper.Update(v.VMs)
 	g.driver.Update(endpoints)
--- /dev/null
+++ b/pkg/limiter/homes_test.go
@@ -0,0 +1,74 @@
+package limiter
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/pistachiovane/pistachiovane/pkg/sharer"
+)
+
+func viewOf(gateways, domains int) sharer.View {
+	v := sharer.View{Version: 1}
+	for i := range gateways {
+		v.Members = append(v.Members, fmt.Sprintf("g%03d", i))
+		v.Domains = append(v.Domains, fmt.Sprintf("d%d", i%domains))
+	}
+	return v
+}
+
+// TestTargetsSumToOne checks small and large fleets: the shares of all members are one, and lie in every failure domain.
+func TestTargetsSumToOne(t *testing.T) {
+	for _, gateways := range []int{1, 3, 12, 13, 40, 330} {
+		v := viewOf(gateways, 6)
+		for i := range 50 {
+			account := fmt.Sprint("account", i)
+			sum, holders := 0.0, 0
+			for _, m := range v.Members {
+				if share := ByHome(v, m, account); share > 0 {
+					sum += share
+					holders++
+				}
+			}
+			want := 6
+			if gateways <= equalMost {
+				want = gateways
+			}
+			if math.Abs(sum-1) > 1e-9 || holders != want {
+				t.Fatalf("%d gateways, %s: shares sum to %v over %d holders, want %d", gateways, account, sum, holders, want)
+			}
+		}
+	}
+}
+
+// TestAGoneGatewayMovesFewHomes takes one of 60 gateways off: only the accounts at home there move.
+func TestAGoneGatewayMovesFewHomes(t *testing.T) {
+	before := viewOf(60, 6)
+	after := before
+	after.Members = slices.Delete(slices.Clone(before.Members), 7, 8)
+	after.Domains = slices.Delete(slices.Clone(before.Domains), 7, 8)
+	for i := range 500 {
+		account := fmt.Sprint("account", i)
+		was, is := Homes(before, account), Homes(after, account)
+		for _, home := range was {
+			if home != before.Members[7] && !slices.Contains(is, home) {
+				t.Fatalf("%s moved from %s, which is still there", account, home)
+			}
+		}
+	}
+}
+
+// BenchmarkTargets finds the shares of 16,000 accounts after a change of the list of 330 gateways.
+func BenchmarkTargets(b *testing.B) {
+	accounts := make([]string, 16000)
+	for i := range accounts {
+		accounts[i] = fmt.Sprint("account", i)
+	}
+	view := viewOf(330, 6)
+	for b.Loop() {
+		for _, account := range accounts {
+			ByHome(view, "g000", account)
+		}
+	}
+}
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -6,9 +6,11 @@
 package limiter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/pkg/bucket"
+	"github.com/pistachiovane/pistachiovane/pkg/ranker"
 	"github.com/pistachiovane/pistachiovane/pkg/sharer"
 )
 
@@ -20,6 +22,43 @@
 	return 1 / float64(len(v.Members))
 }
 
+// equalMost is the largest number of gateways that share every account's limit equally. It is a constant because
+// all gateways must choose alike.
+const equalMost = 12
+
+// Homes returns the holders of an account under a view: every gateway of a small fleet, and one home in each failure
+// domain of a large one, by rendezvous hashing, so that the share of a small account still holds whole requests.
+func Homes(v sharer.View, account string) []string {
+	if len(v.Members) <= equalMost || len(v.Domains) != len(v.Members) {
+		return v.Members
+	}
+	best := make(map[string]int)
+	var domains []string
+	for i, domain := range v.Domains {
+		j, ok := best[domain]
+		if !ok {
+			domains = append(domains, domain)
+		}
+		if !ok || ranker.Score(account, v.Members[i]) > ranker.Score(account, v.Members[j]) {
+			best[domain] = i
+		}
+	}
+	homes := make([]string, 0, len(domains))
+	for _, domain := range domains {
+		homes = append(homes, v.Members[best[domain]])
+	}
+	return homes
+}
+
+// ByHome gives each holder of an account the same share.
+func ByHome(v sharer.View, self, account string) float64 {
+	homes := Homes(v, account)
+	if !slices.Contains(homes, self) {
+		return 0
+	}
+	return 1 / float64(len(homes))
+}
+
 // Verdict is the outcome of an admission.
 type Verdict uint8
 
--- a/pkg/parser/parser.go
+++ b/pkg/parser/parser.go
@@ -3,6 +3,7 @@
 package parser
 
 import (
+	"bytes"
 	"encoding/hex"
 	"math"
 	"regexp"
@@ -67,21 +68,37 @@
 
 // Version returns the version that a list names; ok is false when it names none.
 func Version(t Text) (version uint64, ok bool) {
-	for _, s := range inifile.New(t.Name, t.Body).Sections() {
-		if s.Name != listSection {
-			continue
-		}
-		version, err := strconv.ParseUint(s.String("version", ""), 10, 64)
-		return version, err == nil && version > 0
+	s := header(t)
+	if s == nil {
+		return 0, false
 	}
-	return 0, false
+	version, err := strconv.ParseUint(s.String("version", ""), 10, 64)
+	return version, err == nil && version > 0
 }
 
 // Parts returns the names of the values that hold the rest of a list; none for a list in one value.
 func Parts(t Text) []string {
-	for _, s := range inifile.New(t.Name, t.Body).Sections() {
+	s := header(t)
+	if s == nil {
+		return nil
+	}
+	return s.Words("parts")
+}
+
+// header returns the section with the version, or nil. Only that section is parsed, because a list may be long.
+func header(t Text) *inifile.Section {
+	title := []byte("[" + listSection + "]")
+	start := bytes.Index(t.Body, title)
+	if start < 0 {
+		return nil
+	}
+	body := t.Body[start:]
+	if end := bytes.Index(body, []byte("\n[")); end >= 0 {
+		body = body[:end]
+	}
+	for _, s := range inifile.New(t.Name, body).Sections() {
 		if s.Name == listSection {
-			return s.Words("parts")
+			return s
 		}
 	}
 	return nil
--- a/pkg/parser/parser_test.go
+++ b/pkg/parser/parser_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+func BenchmarkVersion(b *testing.B) {
+	text := Text{Name: "plans", Body: []byte(plansOf(16000))}
+	for b.Loop() {
+		if v, ok := Version(text); !ok || v != 1 {
+			b.Fatal(v, ok)
+		}
+	}
+}
+
 func BenchmarkByKey(b *testing.B) {
 	c := parse(b, plansOf(6000))
 	for b.Loop() {
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -19,6 +19,8 @@
 	Version uint64
 	// Members is sorted and without repetitions.
 	Members []string
+	// Domains holds the failure domain of each member, in the same order; empty when they do not matter.
+	Domains []string
 }
 
 // Has tells whether the name is listed.
@@ -136,7 +138,7 @@
 	if v.Version <= s.View().Version {
 		return
 	}
-	if s.Grown() && slices.Equal(v.Members, s.View().Members) {
+	if s.Grown() && slices.Equal(v.Members, s.View().Members) && slices.Equal(v.Domains, s.View().Domains) {
 		// Whoever grew under a list in between needed an answer for it from here, and got none.
 		s.views = []View{v}
 		return
