Send changes of lists as deltas

Change: gossip carries the sections that changed with the digest of the result; the whole list only where a delta does not fit.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -36,8 +36,15 @@
 	Calls float64 `json:"calls"`
 	// Spread is how long a change of one account took to be in force everywhere, in seconds.
 	Spread float64 `json:"spread"`
+	// Change is what one gateway sends for a change of one account, in bytes above the idle traffic.
+	Change float64 `json:"change"`
+	// Work is the processor time of one gateway for it, in seconds above the idle work.
+	Work float64 `json:"work"`
 }
 
+// settle is how long the traffic of a change is counted after it is in force everywhere.
+const settle = 2 * time.Second
+
 func main() {
 	gateways := flag.String("gateways", "4,16,64,128", "numbers of gateways")
 	accounts := flag.String("accounts", "1000", "numbers of client accounts")
@@ -67,7 +74,7 @@
 }
 
 func measure(gateways, accounts int, idle time.Duration) (point, error) {
-	before := heap()
+	empty := heap()
 	o := assembler.DefaultOptions()
 	o.Gateways, o.Prefills, o.Decodes, o.Plains = gateways, 1, 1, 1
 	o.Poll = time.Second
@@ -87,15 +94,20 @@
 	defer f.Close()
 	time.Sleep(2 * time.Second)
 	p := point{Gateways: gateways, Accounts: accounts}
-	bytes, messages, calls, cpu := fleet.Sent.Bytes.Load(), fleet.Sent.Messages.Load(), f.Platform.Calls(), processor()
+	bytes, messages, calls, used := fleet.Sent.Bytes.Load(), fleet.Sent.Messages.Load(), f.Platform.Calls(), processor()
 	time.Sleep(idle)
 	per := float64(gateways) * idle.Seconds()
 	p.Bytes = float64(fleet.Sent.Bytes.Load()-bytes) / per
 	p.Messages = float64(fleet.Sent.Messages.Load()-messages) / per
 	p.Calls = float64(f.Platform.Calls()-calls) / per
-	p.Core = (processor() - cpu).Seconds() / per
-	p.Heap = (heap() - before) / float64(gateways)
+	p.Core = (processor() - used).Seconds() / per
+	p.Heap = (heap() - empty) / float64(gateways)
+	before, start, cpu := float64(fleet.Sent.Bytes.Load()), time.Now(), processor()
 	p.Spread, err = spread(ctx, f, o.Accounts)
+	time.Sleep(settle)
+	elapsed := time.Since(start).Seconds()
+	p.Change = (float64(fleet.Sent.Bytes.Load())-before)/float64(gateways) - p.Bytes*elapsed
+	p.Work = (processor()-cpu).Seconds()/float64(gateways) - p.Core*elapsed
 	return p, err
 }
 
--- a/gateway/configurer/configurer.go
+++ b/gateway/configurer/configurer.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+	"github.com/pistachiovane/pistachiovane/pkg/differ"
 	"github.com/pistachiovane/pistachiovane/pkg/finding"
 	"github.com/pistachiovane/pistachiovane/pkg/parser"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
@@ -59,13 +59,17 @@
 	inForce  map[string]fleet.List
 	findings finding.Findings
 	vms      platform.VMs
+	// differs hold the lists in force, for deltas; whole marks those for which a delta did not fit.
+	differs map[string]*differ.Differ
+	whole   map[string]bool
 }
 
 // New returns a configurer without lists. relaxed tells whether other gateways read the platform for this one.
 func New(c *platform.Client, poll time.Duration, logger *log.Logger, accepted Accepted, listed Listed, relaxed func() bool) *Configurer {
 	return &Configurer{
 		client: c, poll: poll, log: logger, accepted: accepted, listed: listed, relaxed: relaxed,
-		offered: make(map[string]fleet.List), inForce: make(map[string]fleet.List),
+		offered: make(map[string]fleet.List), inForce: make(map[string]fleet.List), whole: make(map[string]bool),
+		differs: map[string]*differ.Differ{Plans: differ.New(), Uses: differ.New(), VMs: differ.New()},
 	}
 }
 
@@ -84,28 +88,34 @@
 	return c.current.Load()
 }
 
-// Versions returns the versions held of the three lists, for gossip.
+// Versions returns the versions held of the three lists, for gossip; zero asks for a whole list.
 func (c *Configurer) Versions() (plans, uses, vms uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inForce[Plans].Version, c.inForce[Uses].Version, c.vms.Version
+	held := func(name string) uint64 {
+		if c.whole[name] {
+			return 0
+		}
+		return c.differs[name].Version()
+	}
+	return held(Plans), held(Uses), held(VMs)
 }
 
-// Newer returns the lists in force that are newer than those of another gateway.
+// Newer returns what is newer here than at another gateway that holds those versions: deltas where they are known.
 func (c *Configurer) Newer(plans, uses, vms uint64) []fleet.List {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []fleet.List
-	if l := c.inForce[Plans]; l.Version > plans {
-		out = append(out, l)
-	}
-	if l := c.inForce[Uses]; l.Version > uses {
-		out = append(out, l)
-	}
-	if c.vms.Version > vms {
-		if text, err := json.Marshal(c.vms); err == nil {
-			out = append(out, fleet.List{Name: VMs, Version: c.vms.Version, Text: string(text)})
+	for _, theirs := range []fleet.List{{Name: Plans, Version: plans}, {Name: Uses, Version: uses}, {Name: VMs, Version: vms}} {
+		d := c.differs[theirs.Name]
+		if d.Version() <= theirs.Version {
+			continue
 		}
+		if delta, ok := d.Since(theirs.Version); ok {
+			out = append(out, fleet.List{Name: theirs.Name, Version: delta.To, From: delta.From, Set: delta.Set, Drop: delta.Drop, Digest: delta.Digest})
+			continue
+		}
+		out = append(out, fleet.List{Name: theirs.Name, Version: d.Version(), Text: c.text(theirs.Name)})
 	}
 	return out
 }
@@ -113,17 +123,46 @@
 // Offer takes in lists from another gateway.
 func (c *Configurer) Offer(lists []fleet.List) {
 	for _, l := range lists {
+		l, ok := c.complete(l)
+		if !ok {
+			continue
+		}
 		if l.Name != VMs {
 			c.offer(l)
 			continue
 		}
-		var v platform.VMs
-		if err := json.Unmarshal([]byte(l.Text), &v); err == nil {
+		if v, err := parseVMs(l); err == nil {
 			c.offerVMs(v, time.Time{}, false)
 		}
 	}
 }
 
+// complete turns a delta into the whole list; one that does not fit makes the next question ask for the whole.
+func (c *Configurer) complete(l fleet.List) (fleet.List, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d, known := c.differs[l.Name]
+	if !known {
+		return l, false
+	}
+	if l.From == 0 {
+		c.whole[l.Name] = false
+		return l, true
+	}
+	text, ok := d.Apply(differ.Delta{From: l.From, To: l.Version, Set: l.Set, Drop: l.Drop, Digest: l.Digest})
+	c.whole[l.Name] = !ok && l.Version > d.Version()
+	l.Text = text
+	return l, ok
+}
+
+// text returns the whole text of a list that is in force.
+func (c *Configurer) text(name string) string {
+	if name == VMs {
+		return formatVMs(c.vms)
+	}
+	return c.inForce[name].Text
+}
+
 // State is the dump of the configurer.
 type State struct {
 	Plans    uint64           `json:"plans"`
@@ -244,7 +283,7 @@
 		{c.offered[Plans], c.inForce[Uses]},
 	}
 	for i, pair := range pairs {
-		parsed, findings := parser.Parse(text(pair[0]), text(pair[1]))
+		parsed, findings := parser.Parse(textOf(pair[0]), textOf(pair[1]))
 		if i == 0 {
 			c.findings = findings
 		}
@@ -265,6 +304,11 @@
 
 func (c *Configurer) accept(pair [2]fleet.List, parsed *catalog.Catalog) {
 	c.inForce[Plans], c.inForce[Uses] = pair[0], pair[1]
+	for _, l := range pair {
+		if d, ok := c.differs[l.Name]; ok && l.Version > d.Version() {
+			d.Load(l.Version, l.Text)
+		}
+	}
 	c.current.Store(parsed)
 	c.accepted(parsed)
 	c.log.Info().Uint64("plans", pair[0].Version).Uint64("uses", pair[1].Version).Msg("config: in force")
@@ -275,6 +319,7 @@
 	newer := v.Version > c.vms.Version
 	if newer {
 		c.vms = v
+		c.differs[VMs].Load(v.Version, formatVMs(v))
 	}
 	present := c.vms
 	c.mu.Unlock()
@@ -283,7 +328,7 @@
 	}
 }
 
-func text(l fleet.List) parser.Text {
+func textOf(l fleet.List) parser.Text {
 	return parser.Text{Name: l.Name, Body: []byte(l.Text)}
 }
 
--- a/gateway/configurer/configurer_test.go
+++ b/gateway/configurer/configurer_test.go
@@ -100,3 +100,38 @@
 		t.Error("a pair with an older list counts as newer")
 	}
 }
+
+// TestNewsTravelsAsDeltas lets one gateway learn a change of one account from another, as a delta, and the whole list
+// where a delta does not fit.
+func TestNewsTravelsAsDeltas(t *testing.T) {
+	leader, _ := newConfigurer(t)
+	follower, _ := newConfigurer(t)
+	plans := func(version int, rate int) fleet.List {
+		return fleet.List{Name: Plans, Version: uint64(version), Text: fmt.Sprintf("[list]\nversion = %d\n[account a]\nplan = p\nkeys = %s\nrate = %d\nburst = 1\n[account b]\nplan = p\nkeys = %064x\nrate = 1\nburst = 1\n", version, digest, rate, 2)}
+	}
+	learn := func() []fleet.List {
+		news := leader.Newer(follower.Versions())
+		follower.Offer(news)
+		return news
+	}
+	leader.Offer([]fleet.List{{Name: Uses, Version: 1, Text: uses1}, plans(1, 1)})
+	learn()
+	leader.Offer([]fleet.List{plans(2, 7)})
+	if news := learn(); len(news) != 1 || news[0].From != 1 || len(news[0].Set) != 2 || news[0].Text != "" {
+		t.Fatalf("news %+v, want a delta of two sections from version 1", news)
+	}
+	if a, ok := follower.Current().Account("a"); !ok || a.Rate != 7 {
+		t.Errorf("account a is %+v, want rate 7", a)
+	}
+	leader.Offer([]fleet.List{plans(3, 8)})
+	forged := leader.Newer(follower.Versions())
+	forged[0].Set = forged[0].Set[:1]
+	follower.Offer(forged)
+	if p, _, _ := follower.Versions(); p != 0 {
+		t.Fatalf("after a delta that does not fit version %d is asked for, want 0 for the whole list", p)
+	}
+	learn()
+	if a, ok := follower.Current().Account("a"); !ok || a.Rate != 8 {
+		t.Errorf("account a is %+v, want rate 8", a)
+	}
+}
--- /dev/null
+++ b/gateway/configurer/vms.go
@@ -0,0 +1,42 @@
+package configurer
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/pkg/differ"
+	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/platform"
+)
+
+// formatVMs writes a VM list with a section a VM, so that it can be sent as deltas.
+func formatVMs(v platform.VMs) string {
+	var b strings.Builder
+	for i := range v.VMs {
+		line, err := json.Marshal(v.VMs[i])
+		if err != nil {
+			continue
+		}
+		b.WriteString("[" + v.VMs[i].ID + "]\n")
+		b.Write(line)
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
+// parseVMs reads what formatVMs wrote. It fails on a section that is not a VM.
+func parseVMs(l fleet.List) (platform.VMs, error) {
+	out := platform.VMs{Version: l.Version}
+	for title, section := range differ.Sections(l.Text) {
+		var vm platform.VM
+		if err := json.Unmarshal([]byte(strings.TrimPrefix(section, title)), &vm); err != nil {
+			return platform.VMs{}, errors.Wrapf(err, "decode VM %s", title)
+		}
+		out.VMs = append(out.VMs, vm)
+	}
+	slices.SortFunc(out.VMs, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	return out, nil
+}
--- /dev/null
+++ b/pkg/differ/differ_test.go
@@ -0,0 +1,76 @@
+package differ
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func listOf(version uint64, accounts map[int]int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# a comment\n[list]\nversion = %d\n", version)
+	for name, rate := range accounts {
+		fmt.Fprintf(&b, "\n[account a%d]\nrate = %d\n", name, rate)
+	}
+	return b.String()
+}
+
+// TestDeltasLeadToTheSameList makes random edits and catches a follower up from whatever version it has.
+func TestDeltasLeadToTheSameList(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		leader, follower := New(), New()
+		accounts := map[int]int{1: 1, 2: 1}
+		version := uint64(1)
+		leader.Load(version, listOf(version, accounts))
+		follower.Load(version, listOf(version, accounts))
+		for range rapid.IntRange(1, 20).Draw(rt, "edits") {
+			version++
+			name := rapid.IntRange(1, 6).Draw(rt, "account")
+			if rapid.Bool().Draw(rt, "drop") {
+				delete(accounts, name)
+			} else {
+				accounts[name]++
+			}
+			leader.Load(version, listOf(version, accounts))
+			if !rapid.Bool().Draw(rt, "catch up") {
+				continue
+			}
+			delta, ok := leader.Since(follower.Version())
+			if !ok {
+				rt.Fatalf("no delta from %d to %d", follower.Version(), version)
+			}
+			text, ok := follower.Apply(delta)
+			if !ok {
+				rt.Fatalf("delta %+v does not apply", delta)
+			}
+			follower.Load(delta.To, text)
+			if diff := cmp.Diff(Sections(listOf(version, accounts)), Sections(text)); diff != "" {
+				rt.Fatalf("list (-want +got):\n%s", diff)
+			}
+		}
+	})
+}
+
+// TestForgedOrMisplacedDeltasDoNotApply changes a delta in ways that must not go unseen.
+func TestForgedOrMisplacedDeltasDoNotApply(t *testing.T) {
+	leader, follower := New(), New()
+	leader.Load(1, listOf(1, map[int]int{1: 1}))
+	follower.Load(1, listOf(1, map[int]int{1: 1}))
+	leader.Load(2, listOf(2, map[int]int{1: 2, 2: 2}))
+	delta, _ := leader.Since(1)
+	short := delta
+	short.Set = short.Set[1:]
+	elsewhere := delta
+	elsewhere.From = 7
+	for _, d := range []Delta{short, elsewhere} {
+		if _, ok := follower.Apply(d); ok {
+			t.Errorf("delta %+v applies", d)
+		}
+	}
+	if _, ok := leader.Since(0); ok {
+		t.Error("a delta from nothing")
+	}
+}
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -177,11 +177,17 @@
 	Asker       uint64        `json:"asker,omitempty"`
 }
 
-// List is one version of a list.
+// List is one version of a list: whole, or as what changed since an earlier version.
 type List struct {
 	Name    string `json:"name"`
 	Version uint64 `json:"version"`
-	Text    string `json:"text"`
+	// Text is the whole list; empty for a delta.
+	Text string `json:"text,omitempty"`
+	// From is the version that a delta starts from; zero for a whole list.
+	From   uint64   `json:"from,omitempty"`
+	Set    []string `json:"set,omitempty"`
+	Drop   []string `json:"drop,omitempty"`
+	Digest uint64   `json:"digest,omitempty"`
 }
 
 // Blame is a shared crash record.
