--- a/cmd/pistachiovane/cmds/demo.go
+++ b/cmd/pistachiovane/cmds/demo.go
@@ -191,12 +191,10 @@
 	r, err := c.Complete(context.Background(), client.Completion{Model: "drafting", Prompt: prompt, Most: most, Draft: rng.IntN(2) == 0})
 	tokens := tokenizer.Count(prompt)
 	if err == nil && r.Whole {
-		var want strings.Builder
-		length := engine.AnswerLength(prompt, most)
-		for i := range length {
-			want.WriteString(engine.TokenText(prompt, i))
-		}
-		d.observer.Answer(observer.Answered{Account: a.Name, Sent: sent, Done: time.Since(d.start), Tokens: tokens + length, Want: want.String(), Got: r.Text})
+		d.observer.Answer(observer.Answered{
+			Account: a.Name, Sent: sent, Done: time.Since(d.start), Tokens: tokens + engine.AnswerLength(prompt, most),
+			Want: engine.Answer(prompt, most), Got: r.Text,
+		})
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -259,12 +259,8 @@
 	if s.prompt == "" {
 		return
 	}
-	var want strings.Builder
-	for i := range engine.AnswerLength(s.prompt, s.most) {
-		want.WriteString(engine.TokenText(s.prompt, i))
-	}
-	if r.Text != want.String() {
-		a.t.Fatalf("%s got %q, want %q", a.word(0), r.Text, want.String())
+	if want := engine.Answer(s.prompt, s.most); r.Text != want {
+		a.t.Fatalf("%s got %q, want %q", a.word(0), r.Text, want)
 	}
 }
 
--- a/standin/assembler/assembler_test.go
+++ b/standin/assembler/assembler_test.go
@@ -67,14 +67,6 @@
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(data)}
 }
 
-func wantAnswer(prompt string, most int) string {
-	var b strings.Builder
-	for i := range engine.AnswerLength(prompt, most) {
-		b.WriteString(engine.TokenText(prompt, i))
-	}
-	return b.String()
-}
-
 func TestCompletionArrivesWhole(t *testing.T) {
 	f := startFleet(t, nil)
 	prompt := strings.Repeat("throw a bowl ", 50)
@@ -91,7 +83,7 @@
 	if err := json.Unmarshal([]byte(r.body), &got); err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(wantAnswer(prompt, 40), got.Choices[0].Text); diff != "" {
+	if diff := cmp.Diff(engine.Answer(prompt, 40), got.Choices[0].Text); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
 }
@@ -118,7 +110,7 @@
 		}
 		text.WriteString(event.Choices[0].Delta.Content)
 	}
-	if diff := cmp.Diff(wantAnswer("user: hello\n", 20), text.String()); diff != "" {
+	if diff := cmp.Diff(engine.Answer("user: hello\n", 20), text.String()); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
 	if !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -66,6 +66,15 @@
 	return fmt.Sprintf("%04x.%d ", xxhash.Sum64String(prompt)&0xffff, i)
 }
 
+// Answer returns the whole answer to a prompt, for those who check what a caller received.
+func Answer(prompt string, most int) string {
+	var b strings.Builder
+	for i := range AnswerLength(prompt, most) {
+		b.WriteString(TokenText(prompt, i))
+	}
+	return b.String()
+}
+
 // Handler returns the engine's HTTP face.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
