Bound the calls of the fleet server's test

Cause: with the accept loop broken on purpose the test hung until the test runner's own limit. Change: a generous time limit for the call. Conclusion: a broken port fails the test instead of stopping it.

--- a/service/fleet/server_test.go
+++ b/service/fleet/server_test.go
@@ -13,6 +13,9 @@
 	"github.com/pistachiovane/pistachiovane/pkg/credential"
 )
 
+// patience bounds a call that must be answered; it is generous so that a slow machine gives the same verdict.
+const patience = 20 * time.Second
+
 type echo struct{}
 
 func (echo) Serve(_ context.Context, p *Peer, method string, _ json.RawMessage) (any, error) {
@@ -70,8 +73,10 @@
 	serve(t, &starved{Listener: l, failures: 3}, "secret of this fleet")
 	c := NewClient(l.Addr().String(), "1", newCredential(t, "secret of this fleet", "client"), nil, nil)
 	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
 	var got string
-	if err := c.Call(context.Background(), "hear", struct{}{}, &got); err != nil || got != "client hear" {
+	if err := c.Call(ctx, "hear", struct{}{}, &got); err != nil || got != "client hear" {
 		t.Errorf("got %q, %v", got, err)
 	}
 }
