Make one piece of code serve the loops, pauses and decodings that stood twice, and drop what nothing called

Cause: a read of the whole change: three services had the same ticker loop, two files the same pause, the RPC face two decoders; six functions had no caller; the load tool and the model took another target than the gateway. Change: supervision.Every and Sleep, fleet's one decode; WithLeaving, Connected, PlatformURL, Wait, Len and Equal went; load and the model use ByHome, which is equal shares up to 12 gateways.

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiovane/pistachiovane/pkg/reserver"
 	"github.com/pistachiovane/pistachiovane/service/engine"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 const (
@@ -69,18 +70,11 @@
 
 // Serve expires reservations until the context ends.
 func (e *Executor) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			e.mu.Lock()
-			e.reserver.Expire(e.now())
-			e.mu.Unlock()
-		}
-	}
+	return supervision.Every(ctx, expireEvery, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.reserver.Expire(e.now())
+	})
 }
 
 // Reserve holds a decode slot for the peer.
--- a/gateway/admitter/admitter.go
+++ b/gateway/admitter/admitter.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiovane/pistachiovane/pkg/limiter"
 	"github.com/pistachiovane/pistachiovane/pkg/sharer"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 const (
@@ -191,16 +192,7 @@
 
 // Serve notices pauses and finishes the growth of the share until the context ends.
 func (a *Admitter) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			a.tick()
-		}
-	}
+	return supervision.Every(ctx, tickEvery, a.tick)
 }
 
 func (a *Admitter) tick() {
--- a/gateway/configurer/configurer.go
+++ b/gateway/configurer/configurer.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiovane/pistachiovane/pkg/parser"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
 	"github.com/pistachiovane/pistachiovane/service/platform"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 // The names of the lists.
@@ -188,24 +189,24 @@
 func (c *Configurer) loopList(ctx context.Context, name string) {
 	for ctx.Err() == nil {
 		if c.relaxed() {
-			sleep(ctx, c.pause(c.poll))
+			supervision.Sleep(ctx, c.pause(c.poll))
 		}
 		c.mu.Lock()
 		after := c.offered[name].Version
 		c.mu.Unlock()
 		v, err := c.client.Value(ctx, name, after, watchWait)
 		if err != nil {
-			sleep(ctx, retryWait)
+			supervision.Sleep(ctx, retryWait)
 			continue
 		}
 		if v.Version <= after {
-			sleep(ctx, retryWait/10)
+			supervision.Sleep(ctx, retryWait/10)
 			continue
 		}
 		whole, err := c.join(ctx, v)
 		if err != nil {
 			c.log.Warn().Str("list", name).Uint64("version", v.Version).Err(err).Msg("config: parts do not fit yet")
-			sleep(ctx, retryWait)
+			supervision.Sleep(ctx, retryWait)
 			continue
 		}
 		c.offer(fleet.List{Name: name, Version: v.Version, Text: whole})
@@ -258,7 +259,7 @@
 		if v, err := c.client.VMs(ctx); err == nil {
 			c.offerVMs(v, asked, true)
 		}
-		sleep(ctx, c.pause(c.poll))
+		supervision.Sleep(ctx, c.pause(c.poll))
 	}
 }
 
@@ -331,10 +332,3 @@
 func textOf(l fleet.List) parser.Text {
 	return parser.Text{Name: l.Name, Body: []byte(l.Text)}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/gateway/driver/driver.go
+++ b/gateway/driver/driver.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
 	"github.com/pistachiovane/pistachiovane/pkg/tokenizer"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 const (
@@ -77,19 +78,12 @@
 
 // Serve checks waiting requests until the context ends, then ends all that is left.
 func (d *Driver) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			d.endAll()
-			return ctx.Err()
-		case <-ticker.C:
-			d.mu.Lock()
-			d.apply(d.dispatcher.Tick(d.now()))
-			d.mu.Unlock()
-		}
-	}
+	defer d.endAll()
+	return supervision.Every(ctx, tickEvery, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.apply(d.dispatcher.Tick(d.now()))
+	})
 }
 
 // Submit starts a request and returns its flight.
--- a/load/runner/entry.go
+++ b/load/runner/entry.go
@@ -69,7 +69,7 @@
 	poison := quarantiner.New(poisonWindow, poisonLimit)
 	g.dispatcher = dispatcher.New(options, routes, poison, budgeter.New(retryRatio, retrySaved))
 	g.sharer = sharer.New(sharer.Member{Name: g.name, Incarnation: uint64(g.incarnation)}, sharer.Options{Lag: shareLag, Pause: sharePause})
-	g.limiter = limiter.New(g.sharer, limiter.Equal)
+	g.limiter = limiter.New(g.sharer, limiter.ByHome)
 	g.limiter.Set(r.plans, g.clock())
 }
 
--- a/pkg/bucket/bucket.go
+++ b/pkg/bucket/bucket.go
@@ -62,18 +62,6 @@
 	return b.rate
 }
 
-// Wait returns how long it takes until that many tokens are available; ok is false when they never are.
-func (b *Bucket) Wait(tokens float64, now time.Duration) (wait time.Duration, ok bool) {
-	b.refill(now)
-	if tokens <= b.level {
-		return 0, true
-	}
-	if tokens > b.burst || b.rate <= 0 {
-		return 0, false
-	}
-	return time.Duration((tokens - b.level) / b.rate * float64(time.Second)), true
-}
-
 // Take charges tokens; ok is false when there are not enough, and nothing is charged.
 func (b *Bucket) Take(tokens float64, now time.Duration) (c Charge, ok bool) {
 	b.refill(now)
--- a/pkg/deduplicator/deduplicator.go
+++ b/pkg/deduplicator/deduplicator.go
@@ -99,11 +99,6 @@
 	}
 }
 
-// Len returns how many records are held.
-func (d *Deduplicator) Len() int {
-	return len(d.records)
-}
-
 func (d *Deduplicator) expire(now time.Duration) {
 	for len(d.order) > 0 && now-d.order[0].at > d.window {
 		first := d.order[0]
--- a/pkg/endpoint/endpoint.go
+++ b/pkg/endpoint/endpoint.go
@@ -52,12 +52,6 @@
 	Leaving bool
 }
 
-// WithLeaving returns a copy marked as leaving or not.
-func (e Endpoint) WithLeaving(leaving bool) Endpoint {
-	e.Leaving = leaving
-	return e
-}
-
 // Load is what an endpoint's agent reports on each answer.
 type Load struct {
 	// Held counts slots that are reserved or running.
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -17,11 +17,6 @@
 // Target returns the share that a member of a view is entitled to, for an account.
 type Target func(v sharer.View, self, account string) float64
 
-// Equal gives each listed gateway the same share of every account.
-func Equal(v sharer.View, _, _ string) float64 {
-	return 1 / float64(len(v.Members))
-}
-
 // equalMost is the largest number of gateways that share every account's limit equally. It is a constant because
 // all gateways must choose alike.
 const equalMost = 12
--- a/pkg/limiter/limiter_bench_test.go
+++ b/pkg/limiter/limiter_bench_test.go
@@ -17,7 +17,7 @@
 		s.Check(now, now)
 		s.Heard(now, now)
 	}
-	l := New(s, Equal)
+	l := New(s, ByHome)
 	plans := make([]Plan, accounts)
 	names := make([]string, accounts)
 	for i := range plans {
--- a/pkg/limiter/model_test.go
+++ b/pkg/limiter/model_test.go
@@ -67,7 +67,7 @@
 }
 
 func (p *process) share() float64 {
-	return p.sharer.Share(func(v sharer.View, self string) float64 { return Equal(v, self, account) })
+	return p.sharer.Share(func(v sharer.View, self string) float64 { return ByHome(v, self, account) })
 }
 
 type packet struct {
@@ -128,7 +128,7 @@
 func (w *world) start(name string) {
 	w.next++
 	s := sharer.New(sharer.Member{Name: name, Incarnation: w.next}, sharer.Options{Lag: modelLag, Pause: pause})
-	p := &process{name: name, sharer: s, limiter: New(s, Equal), started: w.now, lastTick: w.now}
+	p := &process{name: name, sharer: s, limiter: New(s, ByHome), started: w.now, lastTick: w.now}
 	p.limiter.Set([]Plan{{Account: account, Rate: rate, Burst: burst}}, 0)
 	w.processes[name] = p
 	w.byTicket[p] = make(map[Ticket]*admission)
--- a/service/fleet/client.go
+++ b/service/fleet/client.go
@@ -75,13 +75,6 @@
 	return errors.Wrapf(conn.Notify(ctx, method, params), "notify %s", method)
 }
 
-// Connected tells whether a connection is open.
-func (c *Client) Connected() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.conn != nil
-}
-
 // Close ends the connection and waits for its goroutines.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/service/fleet/server.go
+++ b/service/fleet/server.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/pistachiovane/pistachiovane/pkg/credential"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
 const (
@@ -95,7 +96,7 @@
 		}
 		if err != nil {
 			// Out of file descriptors, say: the listener itself is still good.
-			pause(ctx, acceptPause)
+			supervision.Sleep(ctx, acceptPause)
 			continue
 		}
 		s.mu.Lock()
@@ -126,13 +127,6 @@
 	s.handler.Gone(peer)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (s *Server) drop(conn net.Conn) {
 	_ = conn.Close()
 	s.mu.Lock()
@@ -190,8 +184,8 @@
 // Handle decodes the params of a request and serves it; it fails on params that do not decode.
 func Handle[T any](params json.RawMessage, serve func(T) any) (any, error) {
 	var v T
-	if err := json.Unmarshal(params, &v); err != nil {
-		return nil, errors.Wrap(err, "decode params")
+	if err := decode(&params, &v); err != nil {
+		return nil, err
 	}
 	return serve(v), nil
 }
--- a/service/supervision/supervision.go
+++ b/service/supervision/supervision.go
@@ -2,6 +2,9 @@
 package supervision
 
 import (
+	"context"
+	"time"
+
 	"github.com/phuslu/log"
 	"github.com/thejerf/suture/v4"
 )
@@ -15,3 +18,25 @@
 		},
 	})
 }
+
+// Every calls run once in each period until the context ends, and returns the context's error.
+func Every(ctx context.Context, period time.Duration, run func()) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			run()
+		}
+	}
+}
+
+// Sleep waits for a time or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/standin/assembler/assembler.go
+++ b/standin/assembler/assembler.go
@@ -147,11 +147,6 @@
 	return nil
 }
 
-// PlatformURL returns the base URL of the platform stand-in.
-func (f *Fleet) PlatformURL() string {
-	return f.url
-}
-
 // Stop kills a process: its connections break and what it held in memory is lost.
 func (f *Fleet) Stop(n *Node) {
 	n.cancel()
