Digest a list once a version instead of once a question

Cause: each answer that carried a delta sorted, joined and hashed the whole list again, 2.6 MB with 16,000 accounts. Change: the digest is made when a version is taken in.

--- a/pkg/differ/differ.go
+++ b/pkg/differ/differ.go
@@ -40,7 +40,9 @@
 type Differ struct {
 	version  uint64
 	sections map[string]section
-	tombs    []tomb
+	// digest is that of the present version; deltas carry it.
+	digest uint64
+	tombs  []tomb
 	// floor is the oldest version that deltas can start from.
 	floor uint64
 }
@@ -76,7 +78,7 @@
 		d.floor = d.tombs[over-1].dropped
 		d.tombs = slices.Clone(d.tombs[over:])
 	}
-	d.version = version
+	d.version, d.digest = version, digest(fresh)
 }
 
 // Since returns the delta from a version to the present one; ok is false when it is not known any more.
@@ -84,7 +86,7 @@
 	if version < d.floor || version == 0 || version >= d.version {
 		return Delta{}, false
 	}
-	delta = Delta{From: version, To: d.version, Digest: digest(texts(d.sections))}
+	delta = Delta{From: version, To: d.version, Digest: d.digest}
 	for _, s := range d.sections {
 		if s.changed > version {
 			delta.Set = append(delta.Set, s.text)
