--- a/cmd/pistachiovane/cmds/cmds.go
+++ b/cmd/pistachiovane/cmds/cmds.go
@@ -25,6 +25,7 @@
 
 type arguments struct {
 	Gateway *gatewayCommand `arg:"subcommand:gateway" help:"run a gateway"`
+	Edge    *edgeCommand    `arg:"subcommand:edge" help:"run a gateway that calls endpoints directly"`
 	Agent   *agentCommand   `arg:"subcommand:agent" help:"run an agent beside an endpoint"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check settings and both lists"`
 	Dump    *dumpCommand    `arg:"subcommand:dump" help:"print the state of a running process"`
@@ -99,6 +100,8 @@
 	switch {
 	case a.Gateway != nil:
 		return a.Gateway
+	case a.Edge != nil:
+		return a.Edge
 	case a.Agent != nil:
 		return a.Agent
 	case a.Check != nil:
--- /dev/null
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -0,0 +1,142 @@
+package cmds
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
+	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/process/edge"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
+	"github.com/pistachiovane/pistachiovane/platform"
+)
+
+const (
+	// edgeDial bounds the opening of a connection to an endpoint, and edgeIdle how long an unused one is kept.
+	edgeDial = 400 * time.Millisecond
+	edgeIdle = 1500 * time.Millisecond
+	// storeIdle is how long an unused connection to the store is kept.
+	storeIdle = 10 * time.Second
+	// headerTimeout bounds the sending of a request's header, idleTimeout how long a caller's connection is kept.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// headerMost bounds a request's header, in bytes; the configuration's own bound is lower.
+	headerMost = 64 << 10
+	// collectPercent is the growth of the heap between two collections: memory is scarcer than processor time.
+	collectPercent = 50
+	// memoryShare is the part of the memory limit that the runtime keeps within.
+	memoryShare = 0.7
+	// closeTimeout bounds the end of the ports.
+	closeTimeout = 300 * time.Millisecond
+	// logLines is how many log lines wait to be written; more are dropped.
+	logLines = 4096
+)
+
+type edgeCommand struct {
+	Settings string `arg:"--settings,env:PISTACHIOVANE_CONFIG,required" help:"settings file of the platform"`
+}
+
+func (c *edgeCommand) run(ctx context.Context, o output) error {
+	s, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectPercent)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	}
+	logger, flush := bounded(o.log)
+	defer flush()
+	gossip, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(s.Gossip))
+	if err != nil {
+		return errors.Wrap(err, "listen for gateways")
+	}
+	e := edge.New(edgeOptions(s), edgeSources(s), gossip, logger)
+	return serveEdge(ctx, s, e, logger)
+}
+
+// bounded returns a logger that drops lines rather than wait for the output.
+func bounded(l *log.Logger) (logger *log.Logger, flush func()) {
+	w := &log.AsyncWriter{ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
+	return &log.Logger{Level: l.Level, Writer: w}, func() { _ = w.Close() }
+}
+
+func edgeOptions(s platform.Settings) edge.Options {
+	return edge.Options{
+		Name: s.Name, Domain: s.Domain, Self: s.Gossip, Seeds: s.Seeds, DrainGrace: s.Bounds.DrainGrace, Revoke: s.Bounds.Revoke,
+		Limits: capper.Options{
+			Window: s.Bounds.LimitWindow, Overage: s.Bounds.LimitOverage, Slack: s.Bounds.LimitSlack,
+			Silent: time.Second, Forget: time.Minute,
+		},
+		Repeat: retrier.Options{Ratio: s.Bounds.RepeatRatio, Extra: s.Bounds.RepeatExtra, Window: s.Bounds.RepeatWindow},
+	}
+}
+
+func edgeSources(s platform.Settings) edge.Sources {
+	pool := exchanger.New(exchanger.Options{Dial: edgeDial, Idle: edgeIdle}, clock.Boot)
+	store := exchanger.New(exchanger.Options{Dial: edgeDial, Idle: storeIdle}, clock.Boot)
+	return edge.Sources{
+		Store: platform.NewStore(store, s.Store), ConfigPrefix: platform.PrefixConfig, ConfigKey: platform.KeyConfig,
+		EndpointPrefix: platform.PrefixEndpoints, DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint,
+		Endpoints: platform.NewEndpoints(pool), Pool: pool,
+	}
+}
+
+// serveEdge runs the gateway until the first SIGTERM, lets it drain and ends it.
+func serveEdge(ctx context.Context, s platform.Settings, e *edge.Edge, logger *log.Logger) error {
+	front, err := listen(s.Front)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(s.Ready)
+	if err != nil {
+		return err
+	}
+	callers := &http.Server{
+		Handler: platform.NewIngress(edge.Serving{Edge: e}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
+	}
+	questions := &http.Server{Handler: platform.NewReadiness(e.Ready), ReadHeaderTimeout: headerTimeout}
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	done := make(chan error, 3)
+	go func() { done <- e.Serve(inner) }()
+	go func() { done <- callers.Serve(front) }()
+	go func() { done <- questions.Serve(ready) }()
+	for {
+		select {
+		case err := <-done:
+			return errors.Wrap(err, "process ended early")
+		case <-reload:
+			reloaded(logger)
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	e.Drain(inner)
+	closing, cancel := context.WithTimeout(inner, closeTimeout)
+	defer cancel()
+	if err := callers.Shutdown(closing); err != nil {
+		logger.Warn().Err(err).Msg("process: requests cut off")
+	}
+	return nil
+}
+
+// reloaded notes that the settings changed. What they hold is read at a start only: addresses and bounds of a
+// running process stay.
+func reloaded(logger *log.Logger) {
+	logger.Info().Msg("process: settings file changed, nothing in it applies to a running process")
+}
--- /dev/null
+++ b/internal/config/matcher/matcher.go
@@ -0,0 +1,215 @@
+// Package matcher finds the route and the client account of a request in one version of the configuration.
+package matcher
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+)
+
+// Kind tells how often a request may run.
+type Kind uint8
+
+// The kinds of routes.
+const (
+	// Once requests run at most once.
+	Once Kind = iota
+	// Idempotent requests may be repeated.
+	Idempotent
+	// Stream requests are answered by events; they run once unless the route lets them be resumed.
+	Stream
+)
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service string
+	// Weight is never negative; the weights of a route need not sum to anything.
+	Weight int
+}
+
+// Route maps a host and path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting for a complete answer; zero means no bound.
+	Timeout time.Duration
+	// Target is the latency objective; for streams it holds up to the first event.
+	Target   time.Duration
+	Priority int
+	// Shares is never empty.
+	Shares []Share
+	// Attempts bounds the endpoints that one request may run on; at least one.
+	Attempts int
+	// Open routes need no key.
+	Open bool
+	// Resume tells whether a broken stream may go on at another endpoint.
+	Resume bool
+}
+
+// Service returns the service for a request; dice chooses among the shares.
+func (r *Route) Service(dice uint64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Service
+	}
+	left := int(dice % uint64(total))
+	for _, s := range r.Shares {
+		if left < s.Weight {
+			return s.Service
+		}
+		left -= s.Weight
+	}
+	return r.Shares[0].Service
+}
+
+// Repeatable tells whether the request may run a second time.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Stream && r.Resume)
+}
+
+// Engine describes the model endpoints of a service.
+type Engine struct {
+	// Slots is how many requests an endpoint runs at a time.
+	Slots int
+	// Memory is the KV memory of an endpoint in tokens.
+	Memory int
+	// Stride is how many tokens of the answer come in one event.
+	Stride int
+	// HandleTTL is how long a prefilled KV cache waits to be taken.
+	HandleTTL time.Duration
+}
+
+// Service is a group of equal endpoints.
+type Service struct {
+	Name string
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Account is a client account with its limit.
+type Account struct {
+	Name string
+	// Priority is the rank of the account's requests; the lowest is first. Ranked tells whether it is set.
+	Priority int
+	Ranked   bool
+	// Rate in tokens a second and Burst in tokens hold over all VMs; a zero rate means no limit.
+	Rate  float64
+	Burst float64
+	// Plain is the charge in tokens of a request that names no token counts.
+	Plain int
+	// Keys are the digests of the keys in force.
+	Keys []catalog.Digest
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Content is what a configuration consists of.
+type Content struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+}
+
+// Matcher is one immutable configuration.
+type Matcher struct {
+	content  Content
+	hosts    map[string]map[string]*Route
+	services map[string]*Service
+	byKey    map[catalog.Digest]*Account
+}
+
+// New indexes a configuration; the content must not be changed afterwards.
+func New(c Content) *Matcher {
+	m := &Matcher{
+		content:  c,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[string]*Service, len(c.Services)),
+		byKey:    make(map[catalog.Digest]*Account),
+	}
+	for i := range c.Routes {
+		m.addRoute(&c.Routes[i])
+	}
+	for i := range c.Services {
+		m.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Accounts {
+		for _, k := range c.Accounts[i].Keys {
+			m.byKey[k] = &c.Accounts[i]
+		}
+	}
+	return m
+}
+
+func (m *Matcher) addRoute(r *Route) {
+	host := strings.ToLower(r.Host)
+	if m.hosts[host] == nil {
+		m.hosts[host] = make(map[string]*Route)
+	}
+	m.hosts[host][r.Prefix] = r
+}
+
+// Version returns the version of the configuration.
+func (m *Matcher) Version() uint64 {
+	return m.content.Version
+}
+
+// Limits returns the bounds on requests.
+func (m *Matcher) Limits() Limits {
+	return m.content.Limits
+}
+
+// Accounts returns all accounts, by name.
+func (m *Matcher) Accounts() []Account {
+	out := append([]Account(nil), m.content.Accounts...)
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Route returns the route of the host with the longest prefix that begins the path. Prefixes end with a slash, so
+// the cost grows with the depth of the path and not with the number of routes.
+func (m *Matcher) Route(host, path string) (r *Route, ok bool) {
+	prefixes, ok := m.hosts[bareHost(host)]
+	if !ok {
+		return nil, false
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := prefixes[path[:end+1]]; ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service with that name.
+func (m *Matcher) Service(name string) (s *Service, ok bool) {
+	s, ok = m.services[name]
+	return s, ok
+}
+
+// ByKey returns the account that holds a key.
+func (m *Matcher) ByKey(key string) (a *Account, ok bool) {
+	a, ok = m.byKey[catalog.DigestOf(key)]
+	return a, ok
+}
+
+func bareHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/config/tracker/tracker.go
@@ -0,0 +1,62 @@
+// Package tracker holds the newest configuration and how long ago it was known to be current.
+package tracker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+)
+
+// Tracker is safe for concurrent use.
+type Tracker struct {
+	clock clock.Clock
+
+	mu sync.Mutex
+	// current is nil until the first configuration; its version never falls.
+	current *matcher.Matcher
+	// proven is the latest time at which current was certainly the newest configuration; meaningful once current is set.
+	proven time.Duration
+}
+
+// New returns a tracker without a configuration.
+func New(c clock.Clock) *Tracker {
+	return &Tracker{clock: c}
+}
+
+// Accept takes in a configuration that was the newest one at a time. An older version is ignored; it returns
+// whether the configuration in force changed.
+func (t *Tracker) Accept(m *matcher.Matcher, at time.Duration) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current != nil && m.Version() < t.current.Version() {
+		return false
+	}
+	t.proven = max(t.proven, at)
+	if t.current != nil && m.Version() == t.current.Version() {
+		return false
+	}
+	t.current = m
+	return true
+}
+
+// Confirm records that a version was the newest one at a time, as the configuration's source or a peer says.
+// It proves nothing for another version than the one in force.
+func (t *Tracker) Confirm(version uint64, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == nil || version != t.current.Version() {
+		return
+	}
+	t.proven = max(t.proven, at)
+}
+
+// Current returns the configuration in force and its age: the time since it was known to be the newest one. m is
+// nil while none is known.
+func (t *Tracker) Current() (m *matcher.Matcher, age time.Duration) {
+	now := t.clock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current, now - t.proven
+}
--- /dev/null
+++ b/internal/fleet/follower/follower.go
@@ -0,0 +1,222 @@
+// Package follower keeps a copy of a part of the platform's store: it reads the part once and then follows its
+// changes, and it says how old the copy may be.
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
+)
+
+// ErrHistoryLost tells that the store no longer holds the changes since a revision; the part must be read anew.
+var ErrHistoryLost = errors.New("store: history lost")
+
+const (
+	// failurePause is the wait after a failed call.
+	failurePause = 150 * time.Millisecond
+	// failurePauseMost bounds the wait after repeated failures.
+	failurePauseMost = 600 * time.Millisecond
+)
+
+// Item is one entry of the store.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	// Gone marks the removal of an entry.
+	Gone bool
+}
+
+// Source reads the store.
+type Source interface {
+	// Read returns all entries of a prefix and a revision that they are at least as new as.
+	Read(ctx context.Context, prefix string) (items []Item, revision uint64, err error)
+	// Watch returns the changes after a revision as soon as there are any, or none after the wait. It fails with
+	// ErrHistoryLost when the store has dropped them.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
+}
+
+// Update is a copy of the part.
+type Update struct {
+	// Items holds all entries by key.
+	Items map[string]Item
+	// Changed lists the keys that were written or removed since the update before.
+	Changed []string
+	// At is a time at which the copy was certainly complete.
+	At time.Duration
+	// Whole is set where the part was read anew.
+	Whole bool
+}
+
+// Options are the bounds of a follower.
+type Options struct {
+	// Prefix names the part of the store.
+	Prefix string
+	// Wait is the longest wait of a watch.
+	Wait time.Duration
+	// Pace is the least time between two calls that both return changes.
+	Pace time.Duration
+	// Grace is how long an entry that is missing after an outage is still kept.
+	Grace time.Duration
+	// Outage is how long the store must have been out of reach for Grace to apply.
+	Outage time.Duration
+}
+
+// Follower is one reader of one part.
+type Follower struct {
+	source  Source
+	options Options
+	clock   clock.Clock
+	log     *log.Logger
+	apply   func(Update)
+
+	items    map[string]Item
+	revision uint64
+	known    bool
+	// seen is when the latest call that succeeded began; failing is set from the first failure to the next success.
+	seen    time.Duration
+	failing bool
+	pause   time.Duration
+	// lenient is the time up to which missing entries are kept; held are the removals put off until then.
+	lenient time.Duration
+	held    map[string]bool
+}
+
+// New returns a follower that hands each update to apply, from its own goroutine.
+func New(s Source, o Options, c clock.Clock, l *log.Logger, apply func(Update)) *Follower {
+	return &Follower{source: s, options: o, clock: c, log: l, apply: apply, items: map[string]Item{}, held: map[string]bool{}}
+}
+
+// Serve follows the store until the context ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	f.seen = f.clock()
+	for ctx.Err() == nil {
+		began := f.clock()
+		changes, err := f.step(ctx)
+		f.releaseHeld()
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.pause = 0
+		if rest := f.options.Pace - (f.clock() - began); changes && rest > 0 {
+			supervision.Sleep(ctx, rest)
+		}
+	}
+	return ctx.Err()
+}
+
+// step makes one call and reports whether it brought changes.
+func (f *Follower) step(ctx context.Context) (changes bool, err error) {
+	began := f.clock()
+	if !f.known {
+		items, revision, err := f.source.Read(ctx, f.options.Prefix)
+		if err != nil {
+			return false, err
+		}
+		f.succeeded(began)
+		f.replace(items, revision, began)
+		return true, nil
+	}
+	items, revision, err := f.source.Watch(ctx, f.options.Prefix, f.revision, f.options.Wait)
+	if errors.Is(err, ErrHistoryLost) {
+		f.log.Warn().Str("prefix", f.options.Prefix).Uint64("revision", f.revision).Msg("store: history lost, reading anew")
+		f.known = false
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	f.succeeded(began)
+	f.change(items, revision, began)
+	return len(items) > 0, nil
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if !f.failing {
+		f.log.Warn().Str("prefix", f.options.Prefix).Err(err).Msg("store: lost")
+	}
+	f.failing = true
+	f.pause = min(failurePauseMost, f.pause+failurePause)
+	supervision.Sleep(ctx, f.pause)
+}
+
+// succeeded notes a call that worked; after an outage entries that lapsed meanwhile get time to come back.
+func (f *Follower) succeeded(began time.Duration) {
+	away := began - f.seen
+	f.seen = began
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	f.log.Info().Str("prefix", f.options.Prefix).Int64("away_ms", away.Milliseconds()).Msg("store: regained")
+	if away >= f.options.Outage {
+		f.lenient = f.clock() + f.options.Grace
+	}
+}
+
+// replace takes in the whole part.
+func (f *Follower) replace(items []Item, revision uint64, at time.Duration) {
+	var changed []string
+	fresh := make(map[string]Item, len(items))
+	for _, i := range items {
+		fresh[i.Key] = i
+		delete(f.held, i.Key)
+		if old, ok := f.items[i.Key]; !ok || old.Revision != i.Revision {
+			changed = append(changed, i.Key)
+		}
+	}
+	for key, old := range f.items {
+		if _, ok := fresh[key]; ok {
+			continue
+		}
+		if f.clock() < f.lenient {
+			fresh[key] = old
+			f.held[key] = true
+			continue
+		}
+		changed = append(changed, key)
+	}
+	f.items, f.revision, f.known = fresh, revision, true
+	f.apply(Update{Items: f.items, Changed: changed, At: at, Whole: true})
+}
+
+// change takes in what has changed since the last call.
+func (f *Follower) change(items []Item, revision uint64, at time.Duration) {
+	var changed []string
+	for _, i := range items {
+		if !i.Gone {
+			f.items[i.Key] = i
+			delete(f.held, i.Key)
+			changed = append(changed, i.Key)
+			continue
+		}
+		if f.clock() < f.lenient {
+			f.held[i.Key] = true
+			continue
+		}
+		delete(f.items, i.Key)
+		changed = append(changed, i.Key)
+	}
+	f.revision = max(f.revision, revision)
+	f.apply(Update{Items: f.items, Changed: changed, At: at})
+}
+
+// releaseHeld drops the entries that did not come back in time after an outage.
+func (f *Follower) releaseHeld() {
+	if len(f.held) == 0 || f.clock() < f.lenient {
+		return
+	}
+	var changed []string
+	for key := range f.held {
+		delete(f.items, key)
+		changed = append(changed, key)
+	}
+	clear(f.held)
+	f.apply(Update{Items: f.items, Changed: changed, At: f.seen})
+}
--- /dev/null
+++ b/internal/fleet/gossiper/message.go
@@ -0,0 +1,87 @@
+package gossiper
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// method names the one notification between gateways.
+const method = "state"
+
+// messageMost is the largest message, in bytes; a datagram holds no more.
+const messageMost = 60 << 10
+
+// Load is what a gateway has on a model endpoint.
+type Load struct {
+	Endpoint string `json:"e"`
+	Runs     int    `json:"r,omitempty"`
+	// Tokens is the KV memory that the runs are expected to fill.
+	Tokens int `json:"t,omitempty"`
+	// Backlog is the prompt tokens that are still to be read.
+	Backlog int `json:"b,omitempty"`
+}
+
+// Blame is a request that was running when endpoints crashed.
+type Blame struct {
+	Fingerprint uint64   `json:"f"`
+	Endpoints   []string `json:"e"`
+	// Age is the time since the latest crash, in ms.
+	Age int64 `json:"a"`
+}
+
+// Message is what a gateway tells the others of itself.
+type Message struct {
+	// From is the address that the sender listens on.
+	From string `json:"from"`
+	// Incarnation is another one after each start of the sender.
+	Incarnation uint64 `json:"inc"`
+	// Sequence rises with each message of an incarnation, so that late datagrams are dropped.
+	Sequence uint64 `json:"seq"`
+	// Young is set by a process that asks for the levels of the accounts.
+	Young bool `json:"young,omitempty"`
+	// Version is the configuration in force, and Age how long ago, in ms, it was known to be the newest.
+	Version uint64 `json:"ver,omitempty"`
+	Age     int64  `json:"age,omitempty"`
+	Loads   []Load `json:"load,omitempty"`
+	// Totals are the tokens admitted for each account since the start.
+	Totals map[string]float64 `json:"total,omitempty"`
+	// Levels are the tokens that each account has left.
+	Levels map[string]float64 `json:"level,omitempty"`
+	Blames []Blame            `json:"blame,omitempty"`
+	// Known are the addresses of some other gateways.
+	Known []string `json:"known,omitempty"`
+}
+
+// encode returns the message as a JSON-RPC notification.
+func (m Message) encode() ([]byte, error) {
+	r := jsonrpc2.Request{Method: method, Notif: true}
+	if err := r.SetParams(m); err != nil {
+		return nil, errors.Wrap(err, "encode state")
+	}
+	b, err := r.MarshalJSON()
+	if err == nil && len(b) > messageMost {
+		return nil, errors.Errorf("state of %d bytes does not fit into a datagram", len(b))
+	}
+	return b, errors.Wrap(err, "encode state")
+}
+
+// decode reads a JSON-RPC notification.
+func decode(b []byte) (Message, error) {
+	var r jsonrpc2.Request
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Message{}, errors.Wrap(err, "decode notification")
+	}
+	if r.Method != method || r.Params == nil {
+		return Message{}, errors.Errorf("method %q is not known", r.Method)
+	}
+	var m Message
+	if err := json.Unmarshal(*r.Params, &m); err != nil {
+		return Message{}, errors.Wrap(err, "decode state")
+	}
+	if m.From == "" || m.Incarnation == 0 {
+		return Message{}, errors.New("state without a sender")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/limits/retrier/retrier.go
@@ -0,0 +1,72 @@
+// Package retrier bounds how often requests are sent again, for each service and over all gateways together: each
+// gateway keeps its equal part of the fixed allowance, and earns the rest with its own requests.
+package retrier
+
+import "time"
+
+// Options are the bounds of a retrier.
+type Options struct {
+	// Ratio is how many repeats a request earns.
+	Ratio float64
+	// Extra is the number of repeats in each window beyond those, over all gateways.
+	Extra float64
+	// Window is the time over which the bound is judged.
+	Window time.Duration
+}
+
+// margin is the part of the budget that is used; the rest covers the edges of windows and changes of the fleet.
+const margin = 0.7
+
+type budget struct {
+	saved float64
+	last  time.Duration
+}
+
+// Retrier is not safe for concurrent use.
+type Retrier struct {
+	options  Options
+	gateways int
+	budgets  map[string]*budget
+}
+
+// New returns a retrier for one gateway of a fleet.
+func New(o Options) *Retrier {
+	return &Retrier{options: o, gateways: 1, budgets: map[string]*budget{}}
+}
+
+// Share sets over how many gateways the fixed allowance is divided.
+func (r *Retrier) Share(gateways int) {
+	r.gateways = max(1, gateways)
+}
+
+// Earn records a request for a service.
+func (r *Retrier) Earn(service string, now time.Duration) {
+	b := r.budget(service, now)
+	b.saved = min(r.most(), b.saved+margin*r.options.Ratio)
+}
+
+// Spend takes one repeat; false means that the budget is spent.
+func (r *Retrier) Spend(service string, now time.Duration) bool {
+	b := r.budget(service, now)
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
+
+// most is the largest number of saved repeats: half of the fixed allowance, the other half comes back over a window.
+func (r *Retrier) most() float64 {
+	return max(1, margin*r.options.Extra/float64(r.gateways)/2)
+}
+
+func (r *Retrier) budget(service string, now time.Duration) *budget {
+	b, ok := r.budgets[service]
+	if !ok {
+		b = &budget{saved: r.most(), last: now}
+		r.budgets[service] = b
+	}
+	b.saved = min(r.most(), b.saved+r.most()*(now-b.last).Seconds()/r.options.Window.Seconds())
+	b.last = now
+	return b
+}
--- /dev/null
+++ b/internal/process/edge/edge.go
@@ -0,0 +1,290 @@
+// Package edge is a gateway that calls endpoints directly, without agents beside them. It supervises the parts that
+// read the configuration and the endpoint list, exchange state with the other gateways and answer callers.
+package edge
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/gossiper"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
+	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/forwarder"
+	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/director"
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
+)
+
+// Options are the bounds of a gateway.
+type Options struct {
+	Name   string
+	Domain string
+	// Self is the address of the own gossip socket, Seeds are those of other gateways.
+	Self  netip.AddrPort
+	Seeds []netip.AddrPort
+	// DrainGrace is the time in which a stopping process must end.
+	DrainGrace time.Duration
+	// Revoke is the time within which withdrawn keys stop working.
+	Revoke time.Duration
+	Limits capper.Options
+	Repeat retrier.Options
+}
+
+// Sources are what a gateway reads and calls.
+type Sources struct {
+	Store follower.Source
+	// ConfigPrefix, ConfigKey and EndpointPrefix name the parts of the store.
+	ConfigPrefix   string
+	ConfigKey      string
+	EndpointPrefix string
+	DecodeConfig   func(b []byte) (matcher.Content, error)
+	DecodeEndpoint func(key string, b []byte) (lister.Endpoint, error)
+	Endpoints      forwarder.Endpoints
+	// Pool holds the connections that Endpoints uses.
+	Pool *exchanger.Exchanger
+}
+
+const (
+	// configWait is the longest wait of a watch of the configuration, which proves that it is current.
+	configWait = 900 * time.Millisecond
+	// endpointWait is that of the endpoint list, endpointPace the least time between two reads of its changes.
+	endpointWait = 1500 * time.Millisecond
+	endpointPace = 900 * time.Millisecond
+	// lapseGrace is how long entries that lapsed while the store was away have to come back, lapseOutage how long it
+	// must have been away.
+	lapseGrace  = 2 * time.Second
+	lapseOutage = time.Second
+	// revokeMargin is kept of the time to stop withdrawn keys.
+	revokeMargin = 500 * time.Millisecond
+	// readyAge is the age of the configuration from which the process asks for no new callers.
+	readyAge = 2600 * time.Millisecond
+	// doubtAge is the age from which what is unknown may only not be known yet.
+	doubtAge = 2200 * time.Millisecond
+	// leaveLeast is the least time after which callers give up a stream without events.
+	leaveLeast = 2400 * time.Millisecond
+	// sweepEvery is how often unused connections are looked at.
+	sweepEvery = time.Second
+	// drainPoll is how often a stopping process looks whether its work has ended.
+	drainPoll = 50 * time.Millisecond
+	// drainLinger is how long a stopping process still takes requests: new callers come until the platform has
+	// noticed that it is not ready.
+	drainLinger = 2500 * time.Millisecond
+	// drainMargin is kept of the time to end.
+	drainMargin = 400 * time.Millisecond
+)
+
+// Edge is the root supervisor of the process.
+type Edge struct {
+	options    Options
+	sources    Sources
+	log        *log.Logger
+	supervisor *suture.Supervisor
+	tracker    *tracker.Tracker
+	director   *director.Director
+	forwarder  *forwarder.Forwarder
+	gossiper   *gossiper.Gossiper
+	draining   atomic.Bool
+	// refusing is set when a stopping process takes no more work.
+	refusing atomic.Bool
+
+	mu        sync.Mutex
+	endpoints map[string]lister.Endpoint
+	// listed is set once the endpoint list was read.
+	listed bool
+}
+
+// New returns a gateway that gossips on a socket.
+func New(o Options, s Sources, gossip *net.UDPConn, logger *log.Logger) *Edge {
+	e := &Edge{
+		options: o, sources: s, log: logger, supervisor: supervision.New(o.Name, logger), tracker: tracker.New(clock.Boot),
+		endpoints: map[string]lister.Endpoint{},
+	}
+	e.director = director.New(director.Parts{
+		Clock: clock.Boot, Tracker: e.tracker, Planner: planner.New(planOptions(o.Domain)), Balancer: balancer.New(o.Domain),
+		Capper: capper.New(o.Limits, clock.Boot()), Retrier: retrier.New(o.Repeat),
+	})
+	revoke := o.Revoke - revokeMargin
+	e.forwarder = forwarder.New(forwarder.Options{Revoke: revoke, Doubt: doubtAge, Leave: leaveLeast}, clock.Boot, e.tracker, e.director, s.Endpoints, logger)
+	e.gossiper = gossiper.New(gossip, o.Self.String(), o.Seeds, clock.Boot, e.director, logger)
+	e.supervise()
+	return e
+}
+
+func planOptions(domain string) planner.Options {
+	return planner.Options{
+		Domain: domain, PrefillRate: 55000, Lead: 60 * time.Millisecond, Backlog: 450 * time.Millisecond,
+		Wait: 2500 * time.Millisecond, OutputShare: 0.6, Stale: 1500 * time.Millisecond,
+	}
+}
+
+func (e *Edge) supervise() {
+	config := follower.Options{Prefix: e.sources.ConfigPrefix, Wait: configWait}
+	endpoints := follower.Options{
+		Prefix: e.sources.EndpointPrefix, Wait: endpointWait, Pace: endpointPace, Grace: lapseGrace, Outage: lapseOutage,
+	}
+	e.supervisor.Add(follower.New(e.sources.Store, config, clock.Boot, e.log, e.configure))
+	e.supervisor.Add(follower.New(e.sources.Store, endpoints, clock.Boot, e.log, e.list))
+	e.supervisor.Add(e.director)
+	e.supervisor.Add(e.gossiper)
+	e.supervisor.Add(&sweeper{pool: e.sources.Pool})
+}
+
+// Serve runs the gateway until the context ends.
+func (e *Edge) Serve(ctx context.Context) error {
+	e.log.Info().Str("name", e.options.Name).Str("domain", e.options.Domain).Msg("gateway: started")
+	err := e.supervisor.Serve(ctx)
+	e.log.Info().Str("name", e.options.Name).Msg("gateway: stopped")
+	return err
+}
+
+// configure takes in the configuration as the store holds it.
+func (e *Edge) configure(u follower.Update) {
+	item, ok := u.Items[e.sources.ConfigKey]
+	if !ok {
+		return
+	}
+	current, _ := e.tracker.Current()
+	if current != nil && !slices.Contains(u.Changed, e.sources.ConfigKey) {
+		e.tracker.Confirm(current.Version(), u.At)
+		return
+	}
+	content, err := e.sources.DecodeConfig(item.Value)
+	if err != nil {
+		e.log.Error().Err(err).Uint64("revision", item.Revision).Msg("config: not understood")
+		return
+	}
+	m := matcher.New(content)
+	if !e.tracker.Accept(m, u.At) {
+		return
+	}
+	e.director.Configure(m)
+	e.log.Info().Uint64("version", m.Version()).Uint64("revision", item.Revision).Int("routes", len(content.Routes)).
+		Int("accounts", len(content.Accounts)).Msg("config: in force")
+}
+
+// list takes in the endpoint list as the store holds it.
+func (e *Edge) list(u follower.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changed := !e.listed
+	e.listed = true
+	keys := u.Changed
+	if u.Whole {
+		keys = slices.Collect(maps.Keys(u.Items))
+		for key := range e.endpoints {
+			if _, ok := u.Items[key]; !ok {
+				keys = append(keys, key)
+			}
+		}
+	}
+	for _, key := range keys {
+		changed = e.listOne(key, u) || changed
+	}
+	if changed {
+		e.director.List(slices.Collect(maps.Values(e.endpoints)))
+	}
+}
+
+// listOne takes in one entry and tells whether anything changed.
+func (e *Edge) listOne(key string, u follower.Update) bool {
+	old, had := e.endpoints[key]
+	item, ok := u.Items[key]
+	if !ok {
+		if had {
+			delete(e.endpoints, key)
+			e.sources.Pool.Forget(old.Address)
+			e.log.Info().Str("endpoint", old.ID).Str("address", old.Address).Msg("list: endpoint gone")
+		}
+		return had
+	}
+	fresh, err := e.sources.DecodeEndpoint(key, item.Value)
+	if err != nil {
+		e.log.Warn().Str("key", key).Err(err).Msg("list: entry not understood")
+		delete(e.endpoints, key)
+		return had
+	}
+	if had && old == fresh {
+		return false
+	}
+	e.endpoints[key] = fresh
+	e.log.Info().Str("endpoint", fresh.ID).Str("address", fresh.Address).Str("service", fresh.Service).Bool("prefill", fresh.Prefill).
+		Bool("leaving", fresh.Leaving).Uint64("revision", item.Revision).Msg("list: endpoint")
+	return true
+}
+
+// Ready tells whether the process takes new callers: a current configuration and endpoints are known.
+func (e *Edge) Ready() bool {
+	m, age := e.tracker.Current()
+	return m != nil && age < readyAge && !e.draining.Load() && e.director.Endpoints() > 0
+}
+
+// Limits returns the bounds on requests in force.
+func (e *Edge) Limits() (l matcher.Limits, ok bool) {
+	m, _ := e.tracker.Current()
+	if m == nil {
+		return matcher.Limits{}, false
+	}
+	return m.Limits(), true
+}
+
+// Closing tells whether connections are to be closed after their answers.
+func (e *Edge) Closing() bool {
+	return e.draining.Load()
+}
+
+// Serving answers callers.
+type Serving struct {
+	*Edge
+}
+
+// Serve answers one request.
+func (s Serving) Serve(ctx context.Context, w http.ResponseWriter, r *forwarder.Request) {
+	s.forwarder.Serve(ctx, w, r)
+}
+
+// Drain asks for no new callers and returns when all work has ended, or just before the process must end.
+func (e *Edge) Drain(ctx context.Context) {
+	e.draining.Store(true)
+	e.log.Info().Int("busy", e.director.Busy()).Msg("gateway: draining")
+	began := clock.Boot()
+	for ctx.Err() == nil {
+		spent := clock.Boot() - began
+		if spent > e.options.DrainGrace-drainMargin || (spent > drainLinger && e.director.Busy() == 0) {
+			break
+		}
+		supervision.Sleep(ctx, drainPoll)
+	}
+	e.log.Info().Int("busy", e.director.Busy()).Msg("gateway: drained")
+}
+
+// Stats returns the counts of outcomes.
+func (e *Edge) Stats() *forwarder.Stats {
+	return &e.forwarder.Stats
+}
+
+// sweeper closes unused connections.
+type sweeper struct {
+	pool *exchanger.Exchanger
+}
+
+// Serve sweeps until the context ends.
+func (s *sweeper) Serve(ctx context.Context) error {
+	return supervision.Every(ctx, sweepEvery, s.pool.Sweep)
+}
--- /dev/null
+++ b/internal/proxy/exchanger/exchanger.go
@@ -0,0 +1,334 @@
+// Package exchanger sends HTTP/1.1 requests to endpoints, one at a time on a connection, and tells exactly how far a
+// failed one came. net/http's client repeats requests by itself on connections that broke, which requests that may
+// run only once do not bear; its reading and writing of messages is used here, its transport is not.
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+)
+
+const (
+	// readBuffer is the size of a connection's read buffer.
+	readBuffer = 4 << 10
+	// eagerBody is the largest request body that is written without reading the answer meanwhile, in bytes. It fits
+	// into the buffers of a connection.
+	eagerBody = 16 << 10
+	// idleMost bounds the idle connections kept to one endpoint.
+	idleMost = 16
+	// strayMost bounds the answers to other requests that are skipped before one exchange is given up.
+	strayMost = 2
+	// strayBody is the largest body of such an answer, in bytes.
+	strayBody = 1 << 20
+)
+
+// Stage tells how far a failed exchange came.
+type Stage uint8
+
+// The stages of an exchange.
+const (
+	// Unsent requests did not leave this process.
+	Unsent Stage = iota
+	// Sent requests may have reached the endpoint.
+	Sent
+)
+
+// Failure is an exchange without an answer.
+type Failure struct {
+	Stage Stage
+	// Refused is set where the endpoint refused or did not take the connection.
+	Refused bool
+	Cause   error
+}
+
+// Error returns what failed.
+func (f *Failure) Error() string {
+	return f.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error {
+	return f.Cause
+}
+
+// Options are the bounds of an exchanger.
+type Options struct {
+	// Dial bounds the opening of a connection.
+	Dial time.Duration
+	// Idle is how long an unused connection is kept.
+	Idle time.Duration
+}
+
+// Exchanger is a pool of connections. It is safe for concurrent use.
+type Exchanger struct {
+	options Options
+	clock   clock.Clock
+	dialer  net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// opened counts the connections opened.
+	opened uint64
+}
+
+// New returns an empty pool.
+func New(o Options, c clock.Clock) *Exchanger {
+	e := &Exchanger{options: o, clock: c, idle: make(map[string][]*conn)}
+	e.dialer = net.Dialer{Timeout: o.Dial, KeepAlive: -1}
+	return e
+}
+
+// Opened returns how many connections were opened.
+func (e *Exchanger) Opened() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.opened
+}
+
+// Forget closes the idle connections to an address.
+func (e *Exchanger) Forget(address string) {
+	e.mu.Lock()
+	conns := e.idle[address]
+	delete(e.idle, address)
+	e.mu.Unlock()
+	for _, c := range conns {
+		c.close()
+	}
+}
+
+// Sweep closes the connections that were unused for too long.
+func (e *Exchanger) Sweep() {
+	now := e.clock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, conns := range e.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now < c.expires {
+				kept = append(kept, c)
+				continue
+			}
+			c.close()
+		}
+		if len(kept) == 0 {
+			delete(e.idle, address)
+			continue
+		}
+		e.idle[address] = kept
+	}
+}
+
+// Request is one request to an endpoint.
+type Request struct {
+	// Head has the method, URL, host and header; its body is not used.
+	Head *http.Request
+	Body []byte
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Mine tells whether an answer belongs to this request; others are skipped.
+	Mine func(http.Header) bool
+}
+
+// Answer is an answer whose body is still to be read. Close must be called.
+type Answer struct {
+	*http.Response
+	conn     *conn
+	pool     *Exchanger
+	release  func() bool
+	written  <-chan error
+	complete bool
+}
+
+// Do sends a request and returns the answer's head. The error is always a *Failure. The exchange ends with the
+// context: its connection is closed at once.
+func (e *Exchanger) Do(ctx context.Context, address string, r Request) (*Answer, error) {
+	c, err := e.take(ctx, address, r.Fresh)
+	if err != nil {
+		return nil, &Failure{Stage: Unsent, Refused: ctx.Err() == nil, Cause: errors.Wrap(err, "connect")}
+	}
+	release := context.AfterFunc(ctx, c.close)
+	a, err := e.exchange(c, r)
+	if err != nil {
+		release()
+		c.close()
+		return nil, err
+	}
+	a.release = release
+	return a, nil
+}
+
+func (e *Exchanger) exchange(c *conn, r Request) (*Answer, error) {
+	head := head(r)
+	written := make(chan error, 1)
+	if len(r.Body) <= eagerBody {
+		_, err := c.Write(append(head, r.Body...))
+		if err != nil {
+			// The endpoint may have read the request before the connection broke.
+			return nil, &Failure{Stage: Sent, Cause: errors.Wrap(err, "send")}
+		}
+		written <- nil
+	} else {
+		buffers := net.Buffers{head, r.Body}
+		go c.loopWrite(buffers, written)
+	}
+	for range strayMost + 1 {
+		response, err := http.ReadResponse(c.reader, r.Head)
+		if err != nil {
+			return nil, &Failure{Stage: Sent, Cause: errors.Wrap(err, "read answer")}
+		}
+		if response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Mine == nil || r.Mine(response.Header) {
+			return &Answer{Response: response, conn: c, pool: e, written: written}, nil
+		}
+		if !skip(response) {
+			break
+		}
+	}
+	return nil, &Failure{Stage: Sent, Cause: errors.New("answer belongs to another request")}
+}
+
+// skip reads over an answer to another request; false means that its end can't be found.
+func skip(r *http.Response) bool {
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, strayBody))
+	return err == nil && n < strayBody
+}
+
+func head(r Request) []byte {
+	var b bytes.Buffer
+	h := *r.Head
+	h.Body, h.ContentLength, h.TransferEncoding = nil, 0, nil
+	writeHead(&b, &h, len(r.Body))
+	return b.Bytes()
+}
+
+// Read reads the body; io.EOF means that it is complete.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Body.Read(p)
+	if err == io.EOF {
+		a.complete = true
+	}
+	return n, err
+}
+
+// Close ends the exchange; the connection is kept only after a complete answer to a request that was written whole.
+func (a *Answer) Close() {
+	if !a.release() || !a.reusable() {
+		a.conn.close()
+		return
+	}
+	a.pool.put(a.conn)
+}
+
+func (a *Answer) reusable() bool {
+	if !a.complete || a.Response.Close || a.conn.reader.Buffered() > 0 {
+		return false
+	}
+	if a.ContentLength < 0 && len(a.TransferEncoding) == 0 {
+		return false
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// take returns an idle connection that still looks open, or a new one.
+func (e *Exchanger) take(ctx context.Context, address string, fresh bool) (*conn, error) {
+	for !fresh {
+		c := e.pop(address)
+		if c == nil {
+			break
+		}
+		if e.clock() < c.expires && c.quiet() {
+			return c, nil
+		}
+		c.close()
+	}
+	raw, err := e.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	e.opened++
+	e.mu.Unlock()
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (e *Exchanger) pop(address string) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	conns := e.idle[address]
+	if len(conns) == 0 {
+		return nil
+	}
+	c := conns[len(conns)-1]
+	e.idle[address] = conns[:len(conns)-1]
+	return c
+}
+
+func (e *Exchanger) put(c *conn) {
+	c.expires = e.clock() + e.options.Idle
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.idle[c.address]) >= idleMost {
+		c.close()
+		return
+	}
+	e.idle[c.address] = append(e.idle[c.address], c)
+}
+
+// conn is a connection to an endpoint.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	expires time.Duration
+}
+
+func (c *conn) close() {
+	// An error here would say only that the connection is closed already.
+	_ = c.Conn.Close()
+}
+
+// loopWrite writes a large request while its answer is read: an endpoint may answer before it has read the whole.
+func (c *conn) loopWrite(buffers net.Buffers, done chan<- error) {
+	_, err := buffers.WriteTo(c.Conn)
+	done <- err
+}
+
+// quiet tells whether an idle connection is open and holds no bytes: those would belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/proxy/exchanger/head.go
@@ -0,0 +1,36 @@
+package exchanger
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// writeHead writes the request line and header. The target is written as it was received: net/http would encode
+// it anew, and the endpoint must see the caller's path to the letter.
+func writeHead(b *bytes.Buffer, r *http.Request, body int) {
+	target := r.RequestURI
+	if target == "" {
+		target = r.URL.RequestURI()
+	}
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	if body > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(body))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+}
--- /dev/null
+++ b/internal/proxy/forwarder/forwarder.go
@@ -0,0 +1,195 @@
+// Package forwarder carries a caller's request through its life: find the route and the account, admit, choose an
+// endpoint, call it, repeat where that is allowed, and relay the answer. It knows no wire names: requests come
+// decoded, and endpoints are called through a port.
+package forwarder
+
+import (
+	"context"
+	"hash/maphash"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/routing/director"
+)
+
+// Options are the bounds of a forwarder.
+type Options struct {
+	// Revoke is the age of the configuration from which no key is trusted any more.
+	Revoke time.Duration
+	// Doubt is the age from which an unknown key or route may be one that is not known yet.
+	Doubt time.Duration
+	// Leave is the least time after which callers give up a stream without events.
+	Leave time.Duration
+}
+
+const (
+	// defaultBudget is how long a caller waits that does not say.
+	defaultBudget = 30 * time.Second
+	// retrySoon and retryLater are what refused callers are told where nothing better is known.
+	retrySoon  = 300 * time.Millisecond
+	retryLater = time.Second
+	// answerMargin is kept of the caller's time for the way back.
+	answerMargin = 20 * time.Millisecond
+)
+
+// Forwarder is safe for concurrent use.
+type Forwarder struct {
+	options   Options
+	clock     clock.Clock
+	tracker   *tracker.Tracker
+	director  *director.Director
+	endpoints Endpoints
+	log       *log.Logger
+	seed      maphash.Seed
+	// Stats counts outcomes.
+	Stats Stats
+}
+
+// New returns a forwarder over the decisions of a director.
+func New(o Options, c clock.Clock, t *tracker.Tracker, d *director.Director, e Endpoints, l *log.Logger) *Forwarder {
+	return &Forwarder{options: o, clock: c, tracker: t, director: d, endpoints: e, log: l, seed: maphash.MakeSeed()}
+}
+
+// job is one request in progress.
+type job struct {
+	*Request
+	w       http.ResponseWriter
+	route   *matcher.Route
+	service string
+	engine  *matcher.Engine
+	account *matcher.Account
+	version uint64
+	age     time.Duration
+	// since is when the request came, deadline when its caller or route stops waiting.
+	since    time.Duration
+	deadline time.Duration
+	// charge is what the account paid, in tokens; ran is set once an endpoint may have run the request.
+	charge int
+	ran    bool
+	record record
+}
+
+// Serve answers one request. The context ends when the caller goes.
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
+	defer f.director.Begin()()
+	j := &job{Request: r, w: w, since: f.clock()}
+	defer f.finish(j)
+	if !f.identify(j) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, j.deadline-j.since)
+	defer cancel()
+	if !f.admit(j) {
+		return
+	}
+	defer f.settle(j)
+	f.director.Earn(j.service)
+	if j.engine != nil {
+		f.generate(ctx, j)
+		return
+	}
+	f.call(ctx, j)
+}
+
+// identify finds the route and the account.
+func (f *Forwarder) identify(j *job) bool {
+	m, age := f.tracker.Current()
+	if m == nil {
+		return f.refuse(j, http.StatusServiceUnavailable, retrySoon, "no configuration")
+	}
+	j.version, j.age = m.Version(), age
+	route, ok := m.Route(j.Host, j.Path)
+	if !ok {
+		return f.unknown(j, http.StatusNotFound, "no route")
+	}
+	j.route = route
+	if !route.Open {
+		account, ok := m.ByKey(j.Key)
+		if age > f.options.Revoke {
+			return f.refuse(j, http.StatusServiceUnavailable, retryLater, "keys not known to be current")
+		}
+		if !ok {
+			return f.unknown(j, http.StatusUnauthorized, "no such key")
+		}
+		j.account = account
+	}
+	j.service = route.Service(maphash.String(f.seed, j.ID))
+	if s, ok := m.Service(j.service); ok && j.Counted {
+		j.engine = s.Engine
+	}
+	budget := j.Budget
+	if budget <= 0 {
+		budget = defaultBudget
+	}
+	if route.Timeout > 0 {
+		budget = min(budget, route.Timeout)
+	}
+	j.deadline = j.since + max(answerMargin, budget-answerMargin)
+	return true
+}
+
+// unknown refuses what the configuration does not hold, unless it may be too old to say so.
+func (f *Forwarder) unknown(j *job, status int, reason string) bool {
+	if j.age > f.options.Doubt {
+		return f.refuse(j, http.StatusServiceUnavailable, retrySoon, reason+", configuration not current")
+	}
+	return f.refuse(j, status, 0, reason)
+}
+
+// admit charges the account.
+func (f *Forwarder) admit(j *job) bool {
+	if j.account == nil {
+		return true
+	}
+	j.charge = j.account.Plain
+	if j.Counted {
+		j.charge = j.Prompt + j.Output
+	}
+	wait, ok := f.director.Admit(j.account.Name, j.charge)
+	if ok {
+		return true
+	}
+	charged := j.charge
+	j.charge = 0
+	f.log.Debug().Str("id", j.ID).Int("tokens", charged).Msg("forward: over the limit")
+	return f.refuse(j, http.StatusTooManyRequests, max(retrySoon, wait), "limit")
+}
+
+// settle gives back the charge of a request that no endpoint has run.
+func (f *Forwarder) settle(j *job) {
+	if j.account != nil && !j.ran {
+		f.director.Return(j.account.Name, j.charge)
+	}
+}
+
+// refuse answers with a status of the gateway's own; it returns false for its callers to return.
+func (f *Forwarder) refuse(j *job, status int, after time.Duration, reason string) bool {
+	h := j.w.Header()
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	h.Set("Content-Length", "0")
+	j.w.WriteHeader(status)
+	j.record.status, j.record.reason = status, reason
+	return false
+}
+
+// left returns how long the caller still waits.
+func (f *Forwarder) left(j *job) time.Duration {
+	return j.deadline - f.clock()
+}
+
+// timedOut answers a request whose time is over, or whose caller has gone.
+func (f *Forwarder) timedOut(j *job, reason string) {
+	if j.ran {
+		f.refuse(j, http.StatusGatewayTimeout, 0, reason)
+		return
+	}
+	f.refuse(j, http.StatusServiceUnavailable, retrySoon, reason)
+}
--- /dev/null
+++ b/internal/proxy/forwarder/generations.go
@@ -0,0 +1,302 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+)
+
+const (
+	// readsMost bounds the prefill endpoints asked for one request.
+	readsMost = 3
+	// decodesMost bounds the decode endpoints asked for one request.
+	decodesMost = 4
+	// readTimeout bounds the reading of a prompt, with its wait.
+	readTimeout = 1200 * time.Millisecond
+	// handleMargin is kept of the life of a KV cache for the way to the decode endpoint.
+	handleMargin = 60 * time.Millisecond
+	// leaveFactor times the objective is how long callers wait for the first event.
+	leaveFactor = 4
+	// freeTimeout bounds the freeing of a KV cache.
+	freeTimeout = time.Second
+)
+
+// generation is a request for a model service in progress.
+type generation struct {
+	*job
+	// number names the request to the planner.
+	number uint64
+	plan   *planner.Plan
+	// source is where the prompt's KV cache waits until expires; empty where there is none.
+	source  string
+	holder  *planner.Endpoint
+	expires time.Duration
+	// runs counts the decode endpoints that may have run the request.
+	runs int
+	// relay passes the events on.
+	relay *relay
+}
+
+// generate answers a request for a model service.
+func (f *Forwarder) generate(ctx context.Context, j *job) {
+	number, verdict := f.director.Place(ctx, f.ask(j))
+	j.record.waited = f.clock() - j.since
+	if verdict.Refused {
+		f.refuse(j, http.StatusServiceUnavailable, verdict.RetryAfter, "no room in time")
+		return
+	}
+	if verdict.Plan == nil {
+		f.timedOut(j, "left while waiting")
+		return
+	}
+	g := &generation{job: j, number: number, plan: verdict.Plan, relay: newRelay(j.route.Resume)}
+	defer g.relay.release()
+	defer f.endGeneration(g)
+	f.runGeneration(ctx, g)
+}
+
+// ask describes the request to the planner.
+func (f *Forwarder) ask(j *job) planner.Request {
+	output := j.Output
+	if j.Hint > 0 {
+		output = min(output, j.Hint)
+	}
+	leave := max(f.options.Leave, leaveFactor*j.route.Target)
+	return planner.Request{
+		Account: j.accountName(), Service: j.service, Prompt: j.Prompt, Output: output,
+		Target: j.since + j.route.Target, Latest: min(j.deadline, j.since+leave),
+	}
+}
+
+func (f *Forwarder) endGeneration(g *generation) {
+	f.dropSource(g)
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		return p.End(g.number, now)
+	})
+}
+
+// runGeneration tries decode endpoints until one has answered.
+func (f *Forwarder) runGeneration(ctx context.Context, g *generation) {
+	for n := 0; n < decodesMost; n++ {
+		if n > 0 && !f.director.Spend(g.service) {
+			break
+		}
+		if got := f.read(ctx, g); got != answered {
+			f.endUnserved(g, got)
+			return
+		}
+		got := f.decode(ctx, g)
+		switch got {
+		case answered:
+			return
+		case over:
+			f.endUnserved(g, got)
+			return
+		case broken, failed:
+			g.runs++
+			if !g.route.Repeatable() || g.runs >= g.route.Attempts {
+				f.endUnserved(g, got)
+				return
+			}
+		case notRun, unreachable:
+		}
+		if !f.replan(g, got) {
+			break
+		}
+	}
+	f.endUnserved(g, notRun)
+}
+
+// endUnserved answers a request without a whole answer.
+func (f *Forwarder) endUnserved(g *generation, got result) {
+	switch {
+	case g.relay.begun:
+		g.record.reason = "stream broke off"
+		f.abort(g.job)
+	case got == over:
+		f.timedOut(g.job, "time is over")
+	case g.ran:
+		f.refuse(g.job, http.StatusBadGateway, 0, "endpoint broke off")
+	default:
+		f.refuse(g.job, http.StatusServiceUnavailable, retryLater, "no endpoint with room")
+	}
+}
+
+// read has the prompt read apart, unless that is done or the decode endpoint does it.
+func (f *Forwarder) read(ctx context.Context, g *generation) result {
+	for n := 0; g.source == "" && g.plan.Prefill != nil; n++ {
+		e := g.plan.Prefill
+		g.record.prefill = e.ID
+		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		source, reply, err := f.endpoints.Prefill(readCtx, e.Address, Call{
+			Request: g.Request, Instance: e.ID, Account: g.accountName(), Budget: f.left(g.job), Resume: g.relay.last,
+		})
+		cancel()
+		f.director.Planned(func(p *planner.Planner, _ time.Duration) []planner.Verdict {
+			p.Read(g.number)
+			return nil
+		})
+		if source != "" {
+			g.source, g.holder, g.expires = source, e, f.clock()+g.engine.HandleTTL-handleMargin
+			g.record.read = f.clock() - g.since
+			f.Stats.Read.Add(1)
+			f.worked(e.ID)
+			return answered
+		}
+		if ctx.Err() != nil {
+			return over
+		}
+		f.readFailed(g, e, reply, err)
+		if n+1 >= readsMost || !f.director.Spend(g.service) {
+			// The decode endpoint reads the prompt itself.
+			g.plan.Prefill = nil
+			return answered
+		}
+		f.newPlan(g, true, e.ID)
+	}
+	return answered
+}
+
+func (f *Forwarder) readFailed(g *generation, e *planner.Endpoint, r *Reply, err error) {
+	status := 0
+	if r != nil {
+		status = r.Status
+	}
+	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Int("status", status).Err(err).Msg("forward: prompt not read")
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		if r != nil && r.NotRun && !r.Misdirected {
+			p.Full(e.ID, now)
+		} else {
+			p.Failed(e.ID, now)
+		}
+		return nil
+	})
+}
+
+func (f *Forwarder) worked(id string) {
+	f.director.Planned(func(p *planner.Planner, _ time.Duration) []planner.Verdict {
+		p.Worked(id)
+		return nil
+	})
+}
+
+// decode has the answer made and relays it.
+func (f *Forwarder) decode(ctx context.Context, g *generation) result {
+	e := g.plan.Decode
+	g.record.endpoint = e.ID
+	source := g.source
+	r, err := f.endpoints.Run(ctx, e.Address, Call{
+		Request: g.Request, Instance: e.ID, Account: g.accountName(), Budget: f.left(g.job),
+		Source: source, Resume: g.relay.last, Fresh: g.route.Kind != matcher.Idempotent,
+	})
+	if err != nil {
+		return f.decodeFailed(ctx, g, err)
+	}
+	defer r.Close()
+	g.record.calls++
+	if r.NotRun || r.Misdirected {
+		f.decodeRefused(g, r)
+		return notRun
+	}
+	g.ran = true
+	g.source = ""
+	if !r.Sealed {
+		return broken
+	}
+	f.worked(e.ID)
+	if r.Status != http.StatusOK {
+		return f.passFailure(g, r)
+	}
+	return f.relayStream(ctx, g, r)
+}
+
+func (f *Forwarder) decodeFailed(ctx context.Context, g *generation, err error) result {
+	e := g.plan.Decode
+	var failure *exchanger.Failure
+	sent := !errors.As(err, &failure) || failure.Stage == exchanger.Sent
+	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Bool("sent", sent).Err(err).Msg("forward: call failed")
+	if sent {
+		g.record.calls++
+		g.ran = true
+		g.source = ""
+	}
+	if ctx.Err() != nil {
+		return over
+	}
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		p.Failed(e.ID, now)
+		return nil
+	})
+	if sent {
+		return broken
+	}
+	return unreachable
+}
+
+// decodeRefused notes why an endpoint did not run the request: it was full, or the KV cache was gone.
+func (f *Forwarder) decodeRefused(g *generation, r *Reply) {
+	e := g.plan.Decode
+	full := g.source == "" || (r.Slots > 0 && r.Held >= r.Slots) || f.clock() < g.expires-handleMargin
+	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Int("status", r.Status).Int("held", r.Held).Int("slots", r.Slots).
+		Bool("full", full).Msg("forward: not run")
+	if !full {
+		g.source = ""
+		f.Stats.Wasted.Add(1)
+	}
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		if r.Misdirected {
+			p.Failed(e.ID, now)
+		} else if full {
+			p.Full(e.ID, now)
+		}
+		return nil
+	})
+}
+
+// replan finds other endpoints after a failure; false means that there are none.
+func (f *Forwarder) replan(g *generation, got result) bool {
+	if g.source != "" && f.clock() > g.expires {
+		f.dropSource(g)
+	}
+	avoid := g.plan.Decode.ID
+	if got == notRun && g.source == "" && g.holder != nil {
+		// Only the KV cache was gone.
+		avoid = ""
+	}
+	f.Stats.Repeated.Add(1)
+	return f.newPlan(g, g.source == "", avoid)
+}
+
+func (f *Forwarder) newPlan(g *generation, prefill bool, avoid string) bool {
+	found := false
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		if plan := p.Replan(g.number, prefill, avoid, now); plan != nil {
+			g.plan, found = plan, true
+		}
+		return nil
+	})
+	return found
+}
+
+// dropSource frees a KV cache that will not be taken.
+func (f *Forwarder) dropSource(g *generation) {
+	if g.source == "" {
+		return
+	}
+	f.Stats.Wasted.Add(1)
+	address, source := g.holder.Address, g.source
+	g.source = ""
+	go f.runFree(address, source)
+}
+
+func (f *Forwarder) runFree(address, source string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	f.endpoints.Free(ctx, address, source)
+}
--- /dev/null
+++ b/internal/proxy/forwarder/record.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Stats counts what became of requests.
+type Stats struct {
+	// Answered counts successes, Refused refusals before a run, Failed all other ends.
+	Answered atomic.Uint64
+	Refused  atomic.Uint64
+	Failed   atomic.Uint64
+	// Repeated counts calls after the first of a request, Read prompts read apart, Wasted those read for nothing.
+	Repeated atomic.Uint64
+	Read     atomic.Uint64
+	Wasted   atomic.Uint64
+}
+
+// record is what the log line of a request says.
+type record struct {
+	status   int
+	reason   string
+	prefill  string
+	endpoint string
+	// calls counts the calls to endpoints that were sent.
+	calls int
+	// waited, read and first are times since the request came; zero where it did not come so far.
+	waited time.Duration
+	read   time.Duration
+	first  time.Duration
+	events int
+}
+
+// finish writes the one line that says what became of a request.
+func (f *Forwarder) finish(j *job) {
+	switch status := j.record.status; {
+	case status >= 200 && status < 300 && j.record.reason == "":
+		f.Stats.Answered.Add(1)
+	case !j.ran:
+		f.Stats.Refused.Add(1)
+	default:
+		f.Stats.Failed.Add(1)
+	}
+	e := f.log.Info().Str("id", j.ID)
+	if j.route != nil {
+		e = e.Str("route", j.route.Name).Str("service", j.service)
+	}
+	if j.account != nil {
+		e = e.Str("account", j.account.Name).Int("tokens", j.charge)
+	}
+	if j.record.prefill != "" {
+		e = e.Str("prefill", j.record.prefill).Int64("read_ms", j.record.read.Milliseconds())
+	}
+	if j.record.endpoint != "" {
+		e = e.Str("endpoint", j.record.endpoint).Int64("first_ms", j.record.first.Milliseconds())
+	}
+	e.Uint64("version", j.version).Int64("age_ms", j.age.Milliseconds()).Int("status", j.record.status).
+		Str("reason", j.record.reason).Int("calls", j.record.calls).Int64("waited_ms", j.record.waited.Milliseconds()).
+		Int("events", j.record.events).Int64("total_ms", (f.clock()-j.since).Milliseconds()).Msg("forward: done")
+}
--- /dev/null
+++ b/internal/routing/balancer/balancer.go
@@ -0,0 +1,188 @@
+// Package balancer chooses endpoints of plain services: the least busy one, near ones first where that costs no
+// time, and away from those whose answers fail.
+package balancer
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// failWeight is the weight of one outcome in the share of failures of an endpoint.
+	failWeight = 0.15
+	// failCost multiplies the cost of an endpoint that always fails.
+	failCost = 12
+	// remoteCost is what another failure domain costs, in requests in progress a slot.
+	remoteCost = 0.25
+	// ejectLeast and ejectMost bound the time that an endpoint out of reach is left alone.
+	ejectLeast = 300 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// fullFor is how long an endpoint that refused a request counts as full.
+	fullFor = 100 * time.Millisecond
+	// loadFor is how long a reported load is believed.
+	loadFor = 500 * time.Millisecond
+	// forgiveOver is the time over which failures are forgotten without new requests.
+	forgiveOver = 3 * time.Second
+)
+
+// Endpoint is an endpoint of a plain service.
+type Endpoint struct {
+	ID      string
+	Address string
+	Service string
+	Domain  string
+	Slots   int
+}
+
+type node struct {
+	Endpoint
+	// own counts own requests in progress.
+	own int
+	// others estimates those of other gateways, from the load reported at othersAt.
+	others   int
+	othersAt time.Duration
+	// failing is the share of failures among the latest answers.
+	failing  float64
+	judgedAt time.Duration
+	// away ends the time in which the endpoint gets no new work.
+	away     time.Duration
+	failures int
+	gone     bool
+}
+
+// Balancer is not safe for concurrent use.
+type Balancer struct {
+	domain string
+	nodes  map[string]*node
+	order  []*node
+	// turn rotates equal endpoints.
+	turn int
+}
+
+// New returns a balancer without endpoints for a gateway in the given failure domain.
+func New(domain string) *Balancer {
+	return &Balancer{domain: domain, nodes: map[string]*node{}}
+}
+
+// Set replaces the endpoints that new requests may go to.
+func (b *Balancer) Set(endpoints []Endpoint) {
+	keep := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		keep[e.ID] = true
+		n, ok := b.nodes[e.ID]
+		if !ok {
+			n = &node{}
+			b.nodes[e.ID] = n
+		}
+		n.Endpoint = e
+	}
+	b.order = b.order[:0]
+	for id, n := range b.nodes {
+		n.gone = !keep[id]
+		if n.gone && n.own == 0 {
+			delete(b.nodes, id)
+			continue
+		}
+		b.order = append(b.order, n)
+	}
+	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
+}
+
+// Take chooses an endpoint of a service and counts a request on it; avoided are those that failed the request
+// before, and get it again only where no other is left and again is set. It returns nil where there is none.
+func (b *Balancer) Take(service string, avoided map[string]bool, again bool, now time.Duration) *Endpoint {
+	n := b.best(service, avoided, now, false)
+	if n == nil {
+		n = b.best(service, avoided, now, true)
+	}
+	if n == nil && again {
+		n = b.best(service, nil, now, true)
+	}
+	if n == nil {
+		return nil
+	}
+	n.own++
+	e := n.Endpoint
+	return &e
+}
+
+// best returns the endpoint with the lowest cost; desperate also looks at those that are left alone.
+func (b *Balancer) best(service string, avoided map[string]bool, now time.Duration, desperate bool) *node {
+	var best *node
+	bestCost := math.Inf(1)
+	b.turn++
+	for i := range b.order {
+		n := b.order[(i+b.turn)%len(b.order)]
+		if n.Service != service || n.gone || avoided[n.ID] || (!desperate && now < n.away) {
+			continue
+		}
+		if c := b.cost(n, now); c < bestCost {
+			best, bestCost = n, c
+		}
+	}
+	return best
+}
+
+func (b *Balancer) cost(n *node, now time.Duration) float64 {
+	busy := n.own
+	if now-n.othersAt < loadFor {
+		busy += n.others
+	}
+	cost := float64(busy+1) / float64(max(1, n.Slots))
+	if n.Domain != b.domain {
+		cost += remoteCost
+	}
+	return cost * (1 + failCost*n.share(now))
+}
+
+// share returns the share of failures, which fades while the endpoint gets no requests.
+func (n *node) share(now time.Duration) float64 {
+	return n.failing * math.Exp(-(now - n.judgedAt).Seconds()/forgiveOver.Seconds())
+}
+
+// End counts a request off its endpoint.
+func (b *Balancer) End(id string) {
+	if n, ok := b.nodes[id]; ok {
+		n.own--
+	}
+}
+
+// Judge takes in whether an endpoint's answer was a success.
+func (b *Balancer) Judge(id string, ok bool, now time.Duration) {
+	n, known := b.nodes[id]
+	if !known {
+		return
+	}
+	outcome := 1.0
+	if ok {
+		outcome = 0
+		n.failures, n.away = 0, 0
+	}
+	n.failing = n.share(now)*(1-failWeight) + outcome*failWeight
+	n.judgedAt = now
+}
+
+// Lost records that an endpoint could not be reached or broke off.
+func (b *Balancer) Lost(id string, now time.Duration) {
+	b.Judge(id, false, now)
+	if n, ok := b.nodes[id]; ok {
+		n.away = now + min(ejectMost, ejectLeast<<min(n.failures, 4))
+		n.failures++
+	}
+}
+
+// Full records that an endpoint refused a request for want of room.
+func (b *Balancer) Full(id string, now time.Duration) {
+	if n, ok := b.nodes[id]; ok {
+		n.away = max(n.away, now+fullFor)
+	}
+}
+
+// Report takes in how many requests an endpoint says it holds, of all gateways.
+func (b *Balancer) Report(id string, held int, now time.Duration) {
+	if n, ok := b.nodes[id]; ok {
+		n.others = max(0, held-n.own)
+		n.othersAt = now
+	}
+}
--- /dev/null
+++ b/internal/routing/director/director.go
@@ -0,0 +1,319 @@
+// Package director holds the decisions of one gateway behind one lock: who may run, where, and what the other
+// gateways have decided meanwhile. The decisions themselves are in planner, balancer, capper and retrier.
+package director
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/gossiper"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
+	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+)
+
+// tickEvery is how often waiting generations are looked at.
+const tickEvery = 20 * time.Millisecond
+
+// Parts are the decisions that a director holds.
+type Parts struct {
+	Clock    clock.Clock
+	Tracker  *tracker.Tracker
+	Planner  *planner.Planner
+	Balancer *balancer.Balancer
+	Capper   *capper.Capper
+	Retrier  *retrier.Retrier
+}
+
+// Director is safe for concurrent use.
+type Director struct {
+	clock   clock.Clock
+	tracker *tracker.Tracker
+
+	mu       sync.Mutex
+	planner  *planner.Planner
+	balancer *balancer.Balancer
+	capper   *capper.Capper
+	retrier  *retrier.Retrier
+	// config is the configuration that the parts were set to; listed are the endpoints.
+	config  *matcher.Matcher
+	listed  []lister.Endpoint
+	waiting map[uint64]chan planner.Verdict
+	next    uint64
+	// busy counts requests in progress.
+	busy     int
+	gateways map[string]bool
+	wake     chan struct{}
+}
+
+// New returns a director of the parts; they must not be used by others.
+func New(p Parts) *Director {
+	return &Director{
+		clock: p.Clock, tracker: p.Tracker, planner: p.Planner, balancer: p.Balancer, capper: p.Capper, retrier: p.Retrier,
+		waiting: map[uint64]chan planner.Verdict{}, gateways: map[string]bool{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Serve looks at waiting generations until the context ends.
+func (d *Director) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.wake:
+		}
+		d.loopTick(ctx)
+	}
+}
+
+// loopTick runs while generations wait.
+func (d *Director) loopTick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		d.mu.Lock()
+		d.deliver(d.planner.Tick(d.clock()))
+		left := d.planner.Waiting()
+		d.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// Configure brings a configuration into force.
+func (d *Director) Configure(m *matcher.Matcher) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.config = m
+	plans := make([]capper.Plan, 0, len(m.Accounts()))
+	for _, a := range m.Accounts() {
+		plans = append(plans, capper.Plan{Account: a.Name, Rate: a.Rate, Burst: a.Burst})
+	}
+	d.capper.Set(plans, d.clock())
+	d.place()
+}
+
+// List brings a list of endpoints into force.
+func (d *Director) List(endpoints []lister.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = endpoints
+	d.place()
+}
+
+// place hands the endpoints that may get new work to planner and balancer.
+func (d *Director) place() {
+	var models []planner.Endpoint
+	var plain []balancer.Endpoint
+	for _, e := range d.listed {
+		if e.Leaving {
+			continue
+		}
+		if e.Model {
+			models = append(models, d.model(e))
+			continue
+		}
+		plain = append(plain, balancer.Endpoint{ID: e.ID, Address: e.Address, Service: e.Service, Domain: e.Domain, Slots: e.Slots})
+	}
+	d.planner.Set(models)
+	d.balancer.Set(plain)
+}
+
+func (d *Director) model(e lister.Endpoint) planner.Endpoint {
+	out := planner.Endpoint{ID: e.ID, Address: e.Address, Service: e.Service, Domain: e.Domain, Stage: planner.Decode, Slots: e.Slots}
+	if e.Prefill {
+		out.Stage = planner.Prefill
+	}
+	if d.config == nil {
+		return out
+	}
+	if s, ok := d.config.Service(e.Service); ok && s.Engine != nil {
+		out.Memory = s.Engine.Memory
+	}
+	return out
+}
+
+// Endpoints returns how many endpoints may get new work.
+func (d *Director) Endpoints() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, e := range d.listed {
+		if !e.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Begin counts a request in progress; the returned function ends it.
+func (d *Director) Begin() (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy++
+	return d.end
+}
+
+func (d *Director) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy--
+}
+
+// Busy returns how many requests are in progress.
+func (d *Director) Busy() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.busy
+}
+
+// Admit charges an account; where it may not run now, wait tells when it may.
+func (d *Director) Admit(account string, tokens int) (wait time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.capper.Admit(account, float64(tokens), d.clock())
+}
+
+// Return gives back the charge of a request that did not run.
+func (d *Director) Return(account string, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.capper.Return(account, float64(tokens), d.clock())
+}
+
+// Earn counts a request for a service.
+func (d *Director) Earn(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retrier.Earn(service, d.clock())
+}
+
+// Spend takes one repeat from the service's budget.
+func (d *Director) Spend(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retrier.Spend(service, d.clock())
+}
+
+// Place waits until a generation may start, is refused, or its context ends; in the last case the verdict is
+// empty. The request's ID is set here. After a plan, End must be called.
+func (d *Director) Place(ctx context.Context, r planner.Request) (uint64, planner.Verdict) {
+	d.mu.Lock()
+	d.next++
+	r.ID = d.next
+	done := make(chan planner.Verdict, 1)
+	d.waiting[r.ID] = done
+	d.deliver(d.planner.Submit(r, d.clock()))
+	if d.waiting[r.ID] != nil {
+		d.wakeUp()
+	}
+	d.mu.Unlock()
+	select {
+	case v := <-done:
+		return r.ID, v
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, r.ID)
+	select {
+	case v := <-done:
+		return r.ID, v
+	default:
+	}
+	d.deliver(d.planner.End(r.ID, d.clock()))
+	return r.ID, planner.Verdict{}
+}
+
+func (d *Director) wakeUp() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// deliver hands verdicts to those who wait for them. The lock must be held.
+func (d *Director) deliver(verdicts []planner.Verdict) {
+	for _, v := range verdicts {
+		if done, ok := d.waiting[v.Request]; ok {
+			delete(d.waiting, v.Request)
+			done <- v
+		}
+	}
+}
+
+// Planned runs a change of the planner; verdicts that it returns are delivered.
+func (d *Director) Planned(change func(p *planner.Planner, now time.Duration) []planner.Verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deliver(change(d.planner, d.clock()))
+}
+
+// Balanced runs a change of the balancer.
+func (d *Director) Balanced(change func(b *balancer.Balancer, now time.Duration)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(d.balancer, d.clock())
+}
+
+// Compose returns what to tell the other gateways.
+func (d *Director) Compose(levels bool) (m gossiper.Message, busy bool) {
+	config, age := d.tracker.Current()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if config != nil {
+		m.Version, m.Age = config.Version(), age.Milliseconds()
+	}
+	for id, l := range d.planner.Loads(now) {
+		m.Loads = append(m.Loads, gossiper.Load{Endpoint: id, Runs: l.Runs, Tokens: l.Tokens, Backlog: l.Backlog})
+	}
+	m.Totals = d.capper.Totals()
+	m.Young = d.capper.Young(now)
+	if levels && !m.Young {
+		m.Levels = d.capper.Levels(now)
+	}
+	return m, d.busy > 0
+}
+
+// Receive takes in what another gateway tells.
+func (d *Director) Receive(m gossiper.Message) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if !d.gateways[m.From] {
+		d.gateways[m.From] = true
+		d.retrier.Share(len(d.gateways) + 1)
+	}
+	d.capper.Hear(m.From, m.Incarnation, m.Totals, now)
+	d.capper.Adopt(m.Levels, now)
+	loads := make(map[string]planner.Load, len(m.Loads))
+	for _, l := range m.Loads {
+		loads[l.Endpoint] = planner.Load{Runs: l.Runs, Tokens: l.Tokens, Backlog: l.Backlog}
+	}
+	d.planner.Peer(m.From, loads, now)
+	d.tracker.Confirm(m.Version, now-time.Duration(m.Age)*time.Millisecond)
+	if d.planner.Waiting() > 0 {
+		d.deliver(d.planner.Tick(now))
+	}
+}
+
+// Left forgets another gateway.
+func (d *Director) Left(gateway string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.gateways, gateway)
+	d.retrier.Share(len(d.gateways) + 1)
+}
--- /dev/null
+++ b/internal/routing/planner/planner.go
@@ -0,0 +1,564 @@
+// Package planner decides when a generation starts and on which endpoints. A prompt is read only when a decode
+// endpoint has room for its whole answer, because a prefilled KV cache lives for half a second and work on a prompt
+// whose answer finds no room is lost. Requests that can't start at once wait here, fair among client accounts;
+// those that can still be on time go first, and those that would wait too long are refused at once.
+//
+// It answers bursts of about twice the usual generations, when decode slots and KV memory run short for seconds.
+package planner
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
+)
+
+// Stage is the part of a generation that an endpoint serves.
+type Stage uint8
+
+// The stages.
+const (
+	Prefill Stage = iota + 1
+	Decode
+)
+
+// Endpoint is a model endpoint.
+type Endpoint struct {
+	ID      string
+	Address string
+	Service string
+	Domain  string
+	Stage   Stage
+	// Slots is how many requests run at a time, Memory the KV memory in tokens.
+	Slots  int
+	Memory int
+}
+
+// Load is what one gateway has on an endpoint.
+type Load struct {
+	// Runs counts the requests granted to a decode endpoint and not ended.
+	Runs int
+	// Tokens is the KV memory that they are expected to fill.
+	Tokens int
+	// Backlog is the prompt tokens that a prefill endpoint has not read yet.
+	Backlog int
+}
+
+// Request is a generation that asks for endpoints.
+type Request struct {
+	// ID is unique in this process and never zero.
+	ID      uint64
+	Account string
+	Service string
+	// Prompt and Output are the prompt length and the expected answer, in tokens.
+	Prompt int
+	Output int
+	// Target is the latest time of the first event that is on time, Latest the time at which the caller leaves.
+	Target time.Duration
+	Latest time.Duration
+}
+
+// Plan is where a generation runs.
+type Plan struct {
+	// Prefill is empty where the decode endpoint reads the prompt itself.
+	Prefill *Endpoint
+	Decode  *Endpoint
+}
+
+// Verdict is the answer to a request.
+type Verdict struct {
+	Request uint64
+	// Plan is set where the generation may start.
+	Plan *Plan
+	// Refused is set where it can't be served in time; RetryAfter tells when room is expected.
+	Refused    bool
+	RetryAfter time.Duration
+}
+
+// Options are the bounds of a planner.
+type Options struct {
+	// Domain is the own failure domain.
+	Domain string
+	// PrefillRate is the speed of reading prompts, in tokens a second.
+	PrefillRate float64
+	// Lead is the time from a start to the first event of an unloaded generation, without reading the prompt.
+	Lead time.Duration
+	// Backlog is the longest wait at a prefill endpoint that a generation joins.
+	Backlog time.Duration
+	// Wait is the longest time that a request that will be late waits here.
+	Wait time.Duration
+	// OutputShare is the part of the expected answer that room is kept for: runs are at different points.
+	OutputShare float64
+	// Stale is the age at which the load that another gateway reported is not believed any more.
+	Stale time.Duration
+}
+
+const (
+	// remoteTokens is what another failure domain than the prompt's costs, as a share of a decode endpoint.
+	remoteShare = 0.15
+	// ownDomainShare is the same for another failure domain than the gateway's.
+	ownDomainShare = 0.04
+	// remoteRead is how much longer a prefill endpoint of another failure domain may be preferred for.
+	remoteRead = 120 * time.Millisecond
+	// fullFor is how long an endpoint that refused a request counts as full.
+	fullFor = 120 * time.Millisecond
+	// ejectLeast and ejectMost bound the time that a failed endpoint is left alone.
+	ejectLeast = 300 * time.Millisecond
+	ejectMost  = 4 * time.Second
+	// rateOver is the time over which the own starts are averaged.
+	rateOver = 2 * time.Second
+	// leastRetry is the shortest time after which a refused caller is asked to return.
+	leastRetry = 500 * time.Millisecond
+	// mostRetry is the longest.
+	mostRetry = 4 * time.Second
+)
+
+// node is what is known of an endpoint.
+type node struct {
+	Endpoint
+	own   Load
+	peers map[string]peerLoad
+	// readAt is when the known prompts of a prefill endpoint are read.
+	readAt time.Duration
+	// fullUntil and ejectedUntil end the time in which it gets no new work.
+	fullUntil    time.Duration
+	ejectedUntil time.Duration
+	// failures counts failures in a row.
+	failures int
+	gone     bool
+}
+
+type peerLoad struct {
+	Load
+	at time.Duration
+}
+
+// job is a request that waits or runs.
+type job struct {
+	Request
+	lane   scheduler.Class
+	since  time.Duration
+	plan   *Plan
+	tokens int
+	// reading is set until the prompt has been read.
+	reading bool
+}
+
+// Planner is not safe for concurrent use.
+type Planner struct {
+	options Options
+	nodes   map[string]*node
+	order   []*node
+	queues  map[string]*scheduler.Scheduler[*job]
+	jobs    map[uint64]*job
+	// starts is a decaying count of own starts, of the time at startsAt.
+	starts   float64
+	startsAt time.Duration
+}
+
+// New returns a planner without endpoints.
+func New(o Options) *Planner {
+	return &Planner{options: o, nodes: map[string]*node{}, queues: map[string]*scheduler.Scheduler[*job]{}, jobs: map[uint64]*job{}}
+}
+
+// Set replaces the endpoints that new work may go to; running work stays counted.
+func (p *Planner) Set(endpoints []Endpoint) {
+	keep := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		keep[e.ID] = true
+		n, ok := p.nodes[e.ID]
+		if !ok {
+			n = &node{peers: map[string]peerLoad{}}
+			p.nodes[e.ID] = n
+		}
+		n.Endpoint, n.gone = e, false
+	}
+	p.order = p.order[:0]
+	for id, n := range p.nodes {
+		n.gone = !keep[id]
+		if n.gone && n.own.Runs == 0 && n.own.Backlog == 0 {
+			delete(p.nodes, id)
+			continue
+		}
+		p.order = append(p.order, n)
+	}
+	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
+}
+
+// Peer takes in what another gateway has on each endpoint.
+func (p *Planner) Peer(gateway string, loads map[string]Load, now time.Duration) {
+	for _, n := range p.order {
+		l := loads[n.ID]
+		if l == (Load{}) {
+			delete(n.peers, gateway)
+			continue
+		}
+		n.peers[gateway] = peerLoad{Load: l, at: now}
+	}
+}
+
+// Loads returns what this gateway has on each endpoint, for the others.
+func (p *Planner) Loads(now time.Duration) map[string]Load {
+	out := make(map[string]Load)
+	for _, n := range p.order {
+		l := n.own
+		l.Backlog = min(l.Backlog, int((n.readAt-now).Seconds()*p.options.PrefillRate))
+		l.Backlog = max(0, l.Backlog)
+		if l != (Load{}) {
+			out[n.ID] = l
+		}
+	}
+	return out
+}
+
+// Waiting returns how many requests wait.
+func (p *Planner) Waiting() int {
+	total := 0
+	for _, q := range p.queues {
+		total += q.Len(scheduler.Interactive) + q.Len(scheduler.Draft)
+	}
+	return total
+}
+
+// Submit takes in a request. Without a plan and without a refusal it waits, and a later verdict follows.
+func (p *Planner) Submit(r Request, now time.Duration) []Verdict {
+	j := &job{Request: r, since: now, lane: scheduler.Interactive}
+	if p.lateFor(j, now) {
+		j.lane = scheduler.Draft
+	}
+	q := p.queue(r.Service)
+	if wait := p.expectedWait(q, now); q.Len(scheduler.Interactive)+q.Len(scheduler.Draft) > 0 && now+wait > min(r.Latest, now+p.options.Wait) {
+		return []Verdict{{Request: r.ID, Refused: true, RetryAfter: p.retryAfter(wait)}}
+	}
+	p.jobs[r.ID] = j
+	q.Push(j.lane, r.Account, r.ID, float64(r.Prompt+r.Output), j)
+	return p.pump(r.Service, now)
+}
+
+// Tick starts what can start now, and refuses what can't be served in time any more.
+func (p *Planner) Tick(now time.Duration) []Verdict {
+	var out []Verdict
+	for service, q := range p.queues {
+		var demoted, hopeless []*job
+		q.Each(func(j *job) {
+			if now > j.Latest-p.options.Lead || now > j.since+p.options.Wait {
+				hopeless = append(hopeless, j)
+			} else if j.lane == scheduler.Interactive && p.lateFor(j, now) {
+				demoted = append(demoted, j)
+			}
+		})
+		sort.Slice(demoted, func(a, b int) bool { return demoted[a].ID < demoted[b].ID })
+		for _, j := range demoted {
+			q.Remove(j.lane, j.Account, j.ID)
+			j.lane = scheduler.Draft
+			q.Push(j.lane, j.Account, j.ID, float64(j.Prompt+j.Output), j)
+		}
+		for _, j := range hopeless {
+			q.Remove(j.lane, j.Account, j.ID)
+			delete(p.jobs, j.ID)
+			out = append(out, Verdict{Request: j.ID, Refused: true, RetryAfter: p.retryAfter(p.expectedWait(q, now))})
+		}
+		out = append(out, p.pump(service, now)...)
+	}
+	return out
+}
+
+// Read records that the prompt has been read, or won't be.
+func (p *Planner) Read(id uint64) {
+	j, ok := p.jobs[id]
+	if !ok || !j.reading {
+		return
+	}
+	j.reading = false
+	if n, ok := p.nodes[j.plan.Prefill.ID]; ok {
+		n.own.Backlog -= j.Prompt
+	}
+}
+
+// End records that a request is over, whether it waited or ran.
+func (p *Planner) End(id uint64, now time.Duration) []Verdict {
+	j, ok := p.jobs[id]
+	if !ok {
+		return nil
+	}
+	if j.plan == nil {
+		p.queue(j.Service).Remove(j.lane, j.Account, j.ID)
+		delete(p.jobs, id)
+		return nil
+	}
+	p.release(j)
+	delete(p.jobs, id)
+	return p.pump(j.Service, now)
+}
+
+// Replan looks for other endpoints for a request whose endpoint failed or was full. Prefill asks for a new prefill
+// endpoint, else the prompt is kept where it was read. The plan is nil where there is no room.
+func (p *Planner) Replan(id uint64, prefill bool, avoid string, now time.Duration) *Plan {
+	j, ok := p.jobs[id]
+	if !ok || j.plan == nil {
+		return nil
+	}
+	old := j.plan
+	p.release(j)
+	decode := old.Decode
+	if decode.ID == avoid || p.nodes[decode.ID] == nil || p.nodes[decode.ID].gone {
+		n := p.pickDecode(j, avoid, now)
+		if n == nil {
+			j.plan = &Plan{Prefill: old.Prefill, Decode: old.Decode}
+			p.charge(j, false)
+			return nil
+		}
+		e := n.Endpoint
+		decode = &e
+	}
+	j.plan = &Plan{Prefill: old.Prefill, Decode: decode}
+	if prefill {
+		j.plan.Prefill = nil
+		if n, _ := p.pickPrefill(j, decode.Domain, avoid, now); n != nil {
+			e := n.Endpoint
+			j.plan.Prefill = &e
+		}
+	}
+	p.charge(j, prefill && j.plan.Prefill != nil)
+	if j.reading {
+		p.enqueueRead(j, now)
+	}
+	return j.plan
+}
+
+// Full records that an endpoint refused a request for want of room.
+func (p *Planner) Full(id string, now time.Duration) {
+	if n, ok := p.nodes[id]; ok {
+		n.fullUntil = now + fullFor
+	}
+}
+
+// Failed records that an endpoint failed or could not be reached; it is left alone for a while, longer each time.
+func (p *Planner) Failed(id string, now time.Duration) {
+	n, ok := p.nodes[id]
+	if !ok {
+		return
+	}
+	n.ejectedUntil = now + min(ejectMost, ejectLeast<<min(n.failures, 4))
+	n.failures++
+}
+
+// Worked records that an endpoint answered as it should.
+func (p *Planner) Worked(id string) {
+	if n, ok := p.nodes[id]; ok {
+		n.failures, n.ejectedUntil = 0, 0
+	}
+}
+
+// pump starts waiting requests in their order while there is room.
+func (p *Planner) pump(service string, now time.Duration) []Verdict {
+	var out []Verdict
+	q := p.queue(service)
+	for {
+		j, _, ok := q.Peek()
+		if !ok {
+			return out
+		}
+		plan := p.place(j, now)
+		if plan == nil {
+			return out
+		}
+		q.Pop()
+		j.plan = plan
+		p.charge(j, plan.Prefill != nil)
+		if j.reading {
+			p.enqueueRead(j, now)
+		}
+		p.countStart(now)
+		out = append(out, Verdict{Request: j.ID, Plan: plan})
+	}
+}
+
+// place returns endpoints with room for the request, or nil.
+func (p *Planner) place(j *job, now time.Duration) *Plan {
+	decode := p.pickDecode(j, "", now)
+	if decode == nil {
+		return nil
+	}
+	plan := &Plan{Decode: copyOf(decode)}
+	prefill, wait := p.pickPrefill(j, decode.Domain, "", now)
+	if prefill == nil {
+		// Without a prefill endpoint the decode endpoint reads the prompt itself.
+		return plan
+	}
+	if wait > p.options.Backlog {
+		return nil
+	}
+	plan.Prefill = copyOf(prefill)
+	return plan
+}
+
+func copyOf(n *node) *Endpoint {
+	e := n.Endpoint
+	return &e
+}
+
+// pickDecode returns the decode endpoint with the most room, or nil.
+func (p *Planner) pickDecode(j *job, avoid string, now time.Duration) *node {
+	var best *node
+	bestScore := math.Inf(1)
+	for _, n := range p.order {
+		if n.Stage != Decode || n.Service != j.Service || n.ID == avoid || !n.open(now) {
+			continue
+		}
+		runs, tokens := p.used(n, now)
+		need := p.need(j)
+		if runs >= n.Slots || tokens+need > n.Memory {
+			continue
+		}
+		score := max(float64(runs)/float64(n.Slots), float64(tokens)/float64(n.Memory))
+		if n.Domain != p.options.Domain {
+			score += ownDomainShare
+		}
+		if !p.readerIn(n.Domain, j.Service, now) {
+			score += remoteShare
+		}
+		if score < bestScore {
+			best, bestScore = n, score
+		}
+	}
+	return best
+}
+
+// readerIn tells whether a prefill endpoint of the domain could take a prompt soon.
+func (p *Planner) readerIn(domain, service string, now time.Duration) bool {
+	for _, n := range p.order {
+		if n.Stage == Prefill && n.Service == service && n.Domain == domain && n.open(now) && p.readWait(n, now) < remoteRead {
+			return true
+		}
+	}
+	return false
+}
+
+// pickPrefill returns the prefill endpoint that begins first, counting another failure domain than the decode
+// endpoint's as a wait, and how long it would keep the prompt waiting.
+func (p *Planner) pickPrefill(j *job, domain, avoid string, now time.Duration) (best *node, wait time.Duration) {
+	bestCost := time.Duration(math.MaxInt64)
+	for _, n := range p.order {
+		if n.Stage != Prefill || n.Service != j.Service || n.ID == avoid || !n.open(now) {
+			continue
+		}
+		w := p.readWait(n, now)
+		cost := w
+		if n.Domain != domain {
+			cost += remoteRead
+		}
+		if cost < bestCost {
+			best, bestCost, wait = n, cost, w
+		}
+	}
+	return best, wait
+}
+
+func (n *node) open(now time.Duration) bool {
+	return !n.gone && now >= n.fullUntil && now >= n.ejectedUntil
+}
+
+// used sums what all gateways have on a decode endpoint.
+func (p *Planner) used(n *node, now time.Duration) (runs, tokens int) {
+	runs, tokens = n.own.Runs, n.own.Tokens
+	for _, l := range n.peers {
+		if now-l.at < p.options.Stale {
+			runs += l.Runs
+			tokens += l.Tokens
+		}
+	}
+	return runs, tokens
+}
+
+// readWait is the time until a prefill endpoint has read what all gateways gave it.
+func (p *Planner) readWait(n *node, now time.Duration) time.Duration {
+	wait := max(0, n.readAt-now)
+	for _, l := range n.peers {
+		age := now - l.at
+		if age < p.options.Stale {
+			wait += max(0, p.readTime(l.Backlog)-age)
+		}
+	}
+	return wait
+}
+
+func (p *Planner) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / p.options.PrefillRate * float64(time.Second))
+}
+
+func (p *Planner) need(j *job) int {
+	return j.Prompt + int(p.options.OutputShare*float64(j.Output))
+}
+
+func (p *Planner) charge(j *job, reading bool) {
+	j.tokens = p.need(j)
+	if n, ok := p.nodes[j.plan.Decode.ID]; ok {
+		n.own.Runs++
+		n.own.Tokens += j.tokens
+	}
+	j.reading = reading
+	if n, ok := p.nodes[prefillID(j.plan)]; ok && reading {
+		n.own.Backlog += j.Prompt
+	}
+}
+
+func (p *Planner) enqueueRead(j *job, now time.Duration) {
+	if n, ok := p.nodes[prefillID(j.plan)]; ok {
+		n.readAt = max(now, n.readAt) + p.readTime(j.Prompt)
+	}
+}
+
+func (p *Planner) release(j *job) {
+	if n, ok := p.nodes[j.plan.Decode.ID]; ok {
+		n.own.Runs--
+		n.own.Tokens -= j.tokens
+	}
+	if n, ok := p.nodes[prefillID(j.plan)]; ok && j.reading {
+		n.own.Backlog -= j.Prompt
+	}
+	j.reading = false
+}
+
+func prefillID(plan *Plan) string {
+	if plan.Prefill == nil {
+		return ""
+	}
+	return plan.Prefill.ID
+}
+
+// lateFor tells whether the first event would be late even if the request started now.
+func (p *Planner) lateFor(j *job, now time.Duration) bool {
+	return now+p.readTime(j.Prompt)+p.options.Lead > j.Target
+}
+
+func (p *Planner) queue(service string) *scheduler.Scheduler[*job] {
+	q, ok := p.queues[service]
+	if !ok {
+		q = scheduler.New[*job]()
+		p.queues[service] = q
+	}
+	return q
+}
+
+func (p *Planner) countStart(now time.Duration) {
+	p.starts = p.decayed(now) + 1
+	p.startsAt = now
+}
+
+func (p *Planner) decayed(now time.Duration) float64 {
+	return p.starts * math.Exp(-(now - p.startsAt).Seconds()/rateOver.Seconds())
+}
+
+// expectedWait is how long a request that joins the queue now would wait, by the rate of the own starts.
+func (p *Planner) expectedWait(q *scheduler.Scheduler[*job], now time.Duration) time.Duration {
+	rate := max(0.5, p.decayed(now)/rateOver.Seconds())
+	ahead := q.Len(scheduler.Interactive) + q.Len(scheduler.Draft)
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// retryAfter asks a refused caller to return when what waits now will have started.
+func (p *Planner) retryAfter(wait time.Duration) time.Duration {
+	return min(mostRetry, max(leastRetry, wait))
+}
