--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -32,7 +32,7 @@
 
 const (
 	// allowance is the part of the overage and slack that admissions may use; the rest covers late reports.
-	allowance = 0.35
+	allowance = 0.75
 	// startShare is the part of the allowance that a process without any knowledge begins with.
 	startShare = 0.5
 	// adoptWithin is how long after its start a process takes over the levels of another.
