Refuse requests that a stopping process could not finish

Ruled out: the entry keeps sending new connections only as long as documented. Now a request is refused with 503, not run, when it would usually not end in time.

--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -101,8 +101,6 @@
 	forwarder  *forwarder.Forwarder
 	gossiper   *gossiper.Gossiper
 	draining   atomic.Bool
-	// refusing is set when a stopping process takes no more work.
-	refusing atomic.Bool
 
 	mu        sync.Mutex
 	endpoints map[string]lister.Endpoint
@@ -264,6 +262,7 @@
 	e.draining.Store(true)
 	e.log.Info().Int("busy", e.director.Busy()).Msg("gateway: draining")
 	began := clock.Boot()
+	e.forwarder.StopAt(began + e.options.DrainGrace - drainMargin)
 	for ctx.Err() == nil {
 		spent := clock.Boot() - began
 		if spent > e.options.DrainGrace-drainMargin || (spent > drainLinger && e.director.Busy() == 0) {
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"hash/maphash"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -34,6 +35,11 @@
 	// retrySoon and retryLater are what refused callers are told where nothing better is known.
 	retrySoon  = 300 * time.Millisecond
 	retryLater = time.Second
+	// retryElsewhere is what callers of a stopping process are told: others have room.
+	retryElsewhere = 100 * time.Millisecond
+	// callUsual and streamUsual are how long nearly all requests take.
+	callUsual   = 1500 * time.Millisecond
+	streamUsual = 4600 * time.Millisecond
 	// answerMargin is kept of the caller's time for the way back.
 	answerMargin = 20 * time.Millisecond
 )
@@ -47,6 +53,8 @@
 	endpoints Endpoints
 	log       *log.Logger
 	seed      maphash.Seed
+	// stopAt is the time at which the process will end, in ns; zero while it is not known.
+	stopAt atomic.Int64
 	// Stats counts outcomes.
 	Stats Stats
 }
@@ -75,6 +83,11 @@
 	record record
 }
 
+// StopAt tells when the process will end. Requests that would not have ended by then are refused from now on.
+func (f *Forwarder) StopAt(t time.Duration) {
+	f.stopAt.Store(int64(t))
+}
+
 // Serve answers one request. The context ends when the caller goes.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	defer f.director.Begin()()
@@ -131,9 +144,25 @@
 		budget = min(budget, route.Timeout)
 	}
 	j.deadline = j.since + max(answerMargin, budget-answerMargin)
+	if f.endsTooLate(j) {
+		return f.refuse(j, http.StatusServiceUnavailable, retryElsewhere, "process is stopping")
+	}
 	return true
 }
 
+// endsTooLate tells whether the process will probably end before the request does.
+func (f *Forwarder) endsTooLate(j *job) bool {
+	stop := time.Duration(f.stopAt.Load())
+	if stop == 0 {
+		return false
+	}
+	usual := min(callUsual, j.deadline-j.since)
+	if j.engine != nil {
+		usual = min(streamUsual, j.deadline-j.since)
+	}
+	return j.since+usual > stop
+}
+
 // unknown refuses what the configuration does not hold, unless it may be too old to say so.
 func (f *Forwarder) unknown(j *job, status int, reason string) bool {
 	if j.age > f.options.Doubt {
