--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -23,6 +23,9 @@
 	handleMargin = 60 * time.Millisecond
 	// leaveFactor times the objective is how long callers wait for the first event.
 	leaveFactor = 4
+	// holdTTL is how long room is kept for a generation whose prompt is being read, holdTimeout bounds the asking.
+	holdTTL     = 1500 * time.Millisecond
+	holdTimeout = 400 * time.Millisecond
 	// freeTimeout bounds the freeing of a KV cache.
 	freeTimeout = time.Second
 )
@@ -37,6 +40,9 @@
 	source  string
 	holder  *planner.Endpoint
 	expires time.Duration
+	// hold names the room kept at heldAt; empty where there is none.
+	hold   string
+	heldAt *planner.Endpoint
 	// runs counts the decode endpoints that may have run the request.
 	runs int
 	// relay passes the events on.
@@ -58,7 +64,67 @@
 	g := &generation{job: j, number: number, plan: verdict.Plan, relay: newRelay(j.route.Resume)}
 	defer g.relay.release()
 	defer f.endGeneration(g)
-	f.runGeneration(ctx, g)
+	if f.reserve(ctx, g) {
+		f.runGeneration(ctx, g)
+	}
+}
+
+// reserve keeps room at the decode endpoint before the prompt is read: other gateways may have filled it since they
+// were heard from last. Where it is full, the request waits for the next plan. It returns false after an answer.
+func (f *Forwarder) reserve(ctx context.Context, g *generation) bool {
+	for {
+		e := g.plan.Decode
+		holdCtx, cancel := context.WithTimeout(ctx, holdTimeout)
+		hold, err := f.endpoints.Reserve(holdCtx, e.Address, e.ID, f.director.Reserve(g.number), holdTTL)
+		cancel()
+		if hold != "" {
+			g.hold, g.heldAt = hold, e
+			g.record.waited = f.clock() - g.since
+			return true
+		}
+		f.reserveFailed(g, e, err)
+		verdict := f.director.Again(ctx, g.number)
+		g.record.waited = f.clock() - g.since
+		if verdict.Refused {
+			return f.refuse(g.job, http.StatusServiceUnavailable, verdict.RetryAfter, "no room in time")
+		}
+		if verdict.Plan == nil {
+			f.timedOut(g.job, "left while waiting")
+			return false
+		}
+		g.plan = verdict.Plan
+	}
+}
+
+func (f *Forwarder) reserveFailed(g *generation, e *planner.Endpoint, err error) {
+	f.Stats.Full.Add(1)
+	if err != nil {
+		f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Err(err).Msg("forward: room not reserved")
+	}
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		if err != nil {
+			p.Failed(e.ID, now)
+		} else {
+			p.Full(e.ID, now)
+		}
+		return nil
+	})
+}
+
+// dropHold gives up room that will not be used.
+func (f *Forwarder) dropHold(g *generation) {
+	if g.hold == "" {
+		return
+	}
+	address, hold := g.heldAt.Address, g.hold
+	g.hold = ""
+	go f.runRelease(address, hold)
+}
+
+func (f *Forwarder) runRelease(address, hold string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	f.endpoints.Release(ctx, address, hold)
 }
 
 // ask describes the request to the planner.
@@ -76,6 +142,7 @@
 
 func (f *Forwarder) endGeneration(g *generation) {
 	f.dropSource(g)
+	f.dropHold(g)
 	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
 		return p.End(g.number, now)
 	})
@@ -190,16 +257,20 @@
 func (f *Forwarder) decode(ctx context.Context, g *generation) result {
 	e := g.plan.Decode
 	g.record.endpoint = e.ID
-	source := g.source
+	if g.hold != "" && g.heldAt.ID != e.ID {
+		f.dropHold(g)
+	}
+	source, hold := g.source, g.hold
 	r, err := f.endpoints.Run(ctx, e.Address, Call{
 		Request: g.Request, Instance: e.ID, Account: g.accountName(), Budget: f.left(g.job),
-		Source: source, Resume: g.relay.last, Fresh: g.route.Kind != matcher.Idempotent,
+		Source: source, Hold: hold, Resume: g.relay.last, Fresh: g.route.Kind != matcher.Idempotent,
 	})
 	if err != nil {
 		return f.decodeFailed(ctx, g, err)
 	}
 	defer r.Close()
 	g.record.calls++
+	g.hold = ""
 	if r.NotRun || r.Misdirected {
 		f.decodeRefused(g, r)
 		return notRun
--- a/internal/proxy/forwarder/ports.go
+++ b/internal/proxy/forwarder/ports.go
@@ -43,6 +43,8 @@
 	Budget time.Duration
 	// Source is where the prompt's KV cache waits; empty where the endpoint reads the prompt itself.
 	Source string
+	// Hold names the room reserved for the call; empty where there is none.
+	Hold string
 	// Resume is the event after which a broken stream goes on; empty for the caller's own.
 	Resume string
 	// Fresh asks for a new connection: a request that may run only once must not be lost on one that went stale.
@@ -75,6 +77,11 @@
 type Endpoints interface {
 	// Run sends a request that is answered to the caller.
 	Run(ctx context.Context, address string, c Call) (*Reply, error)
+	// Reserve keeps a slot and KV memory, in tokens, free for a while and returns the reservation's name. It is empty
+	// where the endpoint has no room.
+	Reserve(ctx context.Context, address, instance string, tokens int, ttl time.Duration) (hold string, err error)
+	// Release gives up a reservation that will not be used.
+	Release(ctx context.Context, address, hold string)
 	// Prefill has the prompt read and returns the name of its KV cache; it is empty where the endpoint refused, and
 	// the reply then says why.
 	Prefill(ctx context.Context, address string, c Call) (source string, r *Reply, err error)
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -15,6 +15,8 @@
 	Repeated atomic.Uint64
 	Read     atomic.Uint64
 	Wasted   atomic.Uint64
+	// Full counts reservations that an endpoint refused.
+	Full atomic.Uint64
 }
 
 // record is what the log line of a request says.
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -220,21 +220,45 @@
 		d.wakeUp()
 	}
 	d.mu.Unlock()
+	return r.ID, d.await(ctx, r.ID, done)
+}
+
+// Again waits for another plan for a generation whose decode endpoint turned out to be full, as Place does.
+func (d *Director) Again(ctx context.Context, id uint64) planner.Verdict {
+	d.mu.Lock()
+	done := make(chan planner.Verdict, 1)
+	d.waiting[id] = done
+	d.deliver(d.planner.Requeue(id, d.clock()))
+	if d.waiting[id] != nil {
+		d.wakeUp()
+	}
+	d.mu.Unlock()
+	return d.await(ctx, id, done)
+}
+
+// Reserve returns the KV memory to reserve for a generation, in tokens.
+func (d *Director) Reserve(id uint64) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.planner.Reserve(id)
+}
+
+func (d *Director) await(ctx context.Context, id uint64, done <-chan planner.Verdict) planner.Verdict {
 	select {
 	case v := <-done:
-		return r.ID, v
+		return v
 	case <-ctx.Done():
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.waiting, r.ID)
+	delete(d.waiting, id)
 	select {
 	case v := <-done:
-		return r.ID, v
+		return v
 	default:
 	}
-	d.deliver(d.planner.End(r.ID, d.clock()))
-	return r.ID, planner.Verdict{}
+	d.deliver(d.planner.End(id, d.clock()))
+	return planner.Verdict{}
 }
 
 func (d *Director) wakeUp() {
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -327,6 +327,27 @@
 	return j.plan
 }
 
+// Requeue puts a request whose decode endpoint turned out to be full back to where it waited.
+func (p *Planner) Requeue(id uint64, now time.Duration) []Verdict {
+	j, ok := p.jobs[id]
+	if !ok || j.plan == nil {
+		return nil
+	}
+	p.release(j)
+	j.plan = nil
+	p.queue(j.Service).PushFront(j.lane, j.Account, j.ID, j)
+	return p.pump(j.Service, now)
+}
+
+// Reserve returns the KV memory, in tokens, that is kept for a request at its decode endpoint.
+func (p *Planner) Reserve(id uint64) int {
+	j, ok := p.jobs[id]
+	if !ok {
+		return 0
+	}
+	return j.Prompt
+}
+
 // Full records that an endpoint refused a request for want of room.
 func (p *Planner) Full(id string, now time.Duration) {
 	if n, ok := p.nodes[id]; ok {
