Place by the highest KV memory that all known runs will reach

Cause: keeping room for 0.6 of each answer is too little when runs started together and too much when they did not. Gateways now tell each other prompt, expected answer and age of each run.

--- a/internal/fleet/gossiper/message.go
+++ b/internal/fleet/gossiper/message.go
@@ -16,9 +16,8 @@
 // Load is what a gateway has on a model endpoint.
 type Load struct {
 	Endpoint string `json:"e"`
-	Runs     int    `json:"r,omitempty"`
-	// Tokens is the KV memory that the runs are expected to fill.
-	Tokens int `json:"t,omitempty"`
+	// Runs holds prompt tokens, expected answer tokens and age in ms of each request that runs there.
+	Runs [][3]int `json:"r,omitempty"`
 	// Backlog is the prompt tokens that are still to be read.
 	Backlog int `json:"b,omitempty"`
 }
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -128,7 +128,7 @@
 func planOptions(domain string) planner.Options {
 	return planner.Options{
 		Domain: domain, PrefillRate: 55000, Lead: 60 * time.Millisecond, Backlog: 450 * time.Millisecond,
-		Wait: 2500 * time.Millisecond, OutputShare: 0.6, Stale: 1500 * time.Millisecond,
+		Wait: 2500 * time.Millisecond, DecodeRate: 1700, MemoryShare: 0.95, Stale: 1500 * time.Millisecond,
 	}
 }
 
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -75,7 +75,7 @@
 	for {
 		e := g.plan.Decode
 		holdCtx, cancel := context.WithTimeout(ctx, holdTimeout)
-		hold, err := f.endpoints.Reserve(holdCtx, e.Address, e.ID, f.director.Reserve(g.number), holdTTL)
+		hold, err := f.endpoints.Reserve(holdCtx, e.Address, e.ID, g.Prompt, holdTTL)
 		cancel()
 		if hold != "" {
 			g.hold, g.heldAt = hold, e
@@ -280,7 +280,13 @@
 	if !r.Sealed {
 		return broken
 	}
-	f.worked(e.ID)
+	f.director.Planned(func(p *planner.Planner, now time.Duration) []planner.Verdict {
+		p.Worked(e.ID)
+		if r.Slots > 0 {
+			p.Held(e.ID, r.Held, now)
+		}
+		return nil
+	})
 	if r.Status != http.StatusOK {
 		return f.passFailure(g, r)
 	}
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -236,13 +236,6 @@
 	return d.await(ctx, id, done)
 }
 
-// Reserve returns the KV memory to reserve for a generation, in tokens.
-func (d *Director) Reserve(id uint64) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.planner.Reserve(id)
-}
-
 func (d *Director) await(ctx context.Context, id uint64, done <-chan planner.Verdict) planner.Verdict {
 	select {
 	case v := <-done:
@@ -302,7 +295,7 @@
 		m.Version, m.Age = config.Version(), age.Milliseconds()
 	}
 	for id, l := range d.planner.Loads(now) {
-		m.Loads = append(m.Loads, gossiper.Load{Endpoint: id, Runs: l.Runs, Tokens: l.Tokens, Backlog: l.Backlog})
+		m.Loads = append(m.Loads, encodeLoad(id, l))
 	}
 	m.Totals = d.capper.Totals()
 	m.Young = d.capper.Young(now)
@@ -325,7 +318,7 @@
 	d.capper.Adopt(m.Levels, now)
 	loads := make(map[string]planner.Load, len(m.Loads))
 	for _, l := range m.Loads {
-		loads[l.Endpoint] = planner.Load{Runs: l.Runs, Tokens: l.Tokens, Backlog: l.Backlog}
+		loads[l.Endpoint] = decodeLoad(l)
 	}
 	d.planner.Peer(m.From, loads, now)
 	d.tracker.Confirm(m.Version, now-time.Duration(m.Age)*time.Millisecond)
@@ -334,6 +327,22 @@
 	}
 }
 
+func encodeLoad(id string, l planner.Load) gossiper.Load {
+	out := gossiper.Load{Endpoint: id, Backlog: l.Backlog}
+	for _, r := range l.Runs {
+		out.Runs = append(out.Runs, [3]int{r.Prompt, r.Output, int(r.Age.Milliseconds())})
+	}
+	return out
+}
+
+func decodeLoad(l gossiper.Load) planner.Load {
+	out := planner.Load{Backlog: l.Backlog}
+	for _, r := range l.Runs {
+		out.Runs = append(out.Runs, planner.Run{Prompt: r[0], Output: r[1], Age: time.Duration(r[2]) * time.Millisecond})
+	}
+	return out
+}
+
 // Left forgets another gateway.
 func (d *Director) Left(gateway string) {
 	d.mu.Lock()
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -37,14 +37,16 @@
 
 // Load is what one gateway has on an endpoint.
 type Load struct {
-	// Runs counts the requests granted to a decode endpoint and not ended.
-	Runs int
-	// Tokens is the KV memory that they are expected to fill.
-	Tokens int
+	// Runs are the requests granted to a decode endpoint and not ended.
+	Runs []Run
 	// Backlog is the prompt tokens that a prefill endpoint has not read yet.
 	Backlog int
 }
 
+func (l Load) empty() bool {
+	return len(l.Runs) == 0 && l.Backlog == 0
+}
+
 // Request is a generation that asks for endpoints.
 type Request struct {
 	// ID is unique in this process and never zero.
@@ -88,8 +90,11 @@
 	Backlog time.Duration
 	// Wait is the longest time that a request that will be late waits here.
 	Wait time.Duration
-	// OutputShare is the part of the expected answer that room is kept for: runs are at different points.
-	OutputShare float64
+	// DecodeRate is the speed at which an answer is made, in tokens a second.
+	DecodeRate float64
+	// MemoryShare is the part of an endpoint's KV memory that runs may fill; the rest covers answers that turn out
+	// longer than expected.
+	MemoryShare float64
 	// Stale is the age at which the load that another gateway reported is not believed any more.
 	Stale time.Duration
 }
@@ -117,8 +122,13 @@
 // node is what is known of an endpoint.
 type node struct {
 	Endpoint
-	own   Load
-	peers map[string]peerLoad
+	// own are the own runs by request, backlog the own prompt tokens not read yet.
+	own     map[uint64]Run
+	backlog int
+	peers   map[string]peerLoad
+	// held is how many requests the endpoint said it holds at heldAt.
+	held   int
+	heldAt time.Duration
 	// readAt is when the known prompts of a prefill endpoint are read.
 	readAt time.Duration
 	// fullUntil and ejectedUntil end the time in which it gets no new work.
@@ -140,7 +150,6 @@
 	lane   scheduler.Class
 	since  time.Duration
 	plan   *Plan
-	tokens int
 	// reading is set until the prompt has been read.
 	reading bool
 }
@@ -155,6 +164,7 @@
 	// starts is a decaying count of own starts, of the time at startsAt.
 	starts   float64
 	startsAt time.Duration
+	scratch  []Run
 }
 
 // New returns a planner without endpoints.
@@ -169,7 +179,7 @@
 		keep[e.ID] = true
 		n, ok := p.nodes[e.ID]
 		if !ok {
-			n = &node{peers: map[string]peerLoad{}}
+			n = &node{own: map[uint64]Run{}, peers: map[string]peerLoad{}}
 			p.nodes[e.ID] = n
 		}
 		n.Endpoint, n.gone = e, false
@@ -177,7 +187,7 @@
 	p.order = p.order[:0]
 	for id, n := range p.nodes {
 		n.gone = !keep[id]
-		if n.gone && n.own.Runs == 0 && n.own.Backlog == 0 {
+		if n.gone && len(n.own) == 0 && n.backlog == 0 {
 			delete(p.nodes, id)
 			continue
 		}
@@ -190,7 +200,7 @@
 func (p *Planner) Peer(gateway string, loads map[string]Load, now time.Duration) {
 	for _, n := range p.order {
 		l := loads[n.ID]
-		if l == (Load{}) {
+		if l.empty() {
 			delete(n.peers, gateway)
 			continue
 		}
@@ -202,10 +212,11 @@
 func (p *Planner) Loads(now time.Duration) map[string]Load {
 	out := make(map[string]Load)
 	for _, n := range p.order {
-		l := n.own
-		l.Backlog = min(l.Backlog, int((n.readAt-now).Seconds()*p.options.PrefillRate))
-		l.Backlog = max(0, l.Backlog)
-		if l != (Load{}) {
+		l := Load{Backlog: max(0, min(n.backlog, int((n.readAt-now).Seconds()*p.options.PrefillRate)))}
+		for _, r := range n.own {
+			l.Runs = append(l.Runs, r.at(now))
+		}
+		if !l.empty() {
 			out[n.ID] = l
 		}
 	}
@@ -272,7 +283,14 @@
 	}
 	j.reading = false
 	if n, ok := p.nodes[j.plan.Prefill.ID]; ok {
-		n.own.Backlog -= j.Prompt
+		n.backlog -= j.Prompt
+	}
+}
+
+// Held takes in how many requests an endpoint says it holds, of all gateways.
+func (p *Planner) Held(id string, held int, now time.Duration) {
+	if n, ok := p.nodes[id]; ok {
+		n.held, n.heldAt = held, now
 	}
 }
 
@@ -306,7 +324,7 @@
 		n := p.pickDecode(j, avoid, now)
 		if n == nil {
 			j.plan = &Plan{Prefill: old.Prefill, Decode: old.Decode}
-			p.charge(j, false)
+			p.charge(j, false, now)
 			return nil
 		}
 		e := n.Endpoint
@@ -320,7 +338,7 @@
 			j.plan.Prefill = &e
 		}
 	}
-	p.charge(j, prefill && j.plan.Prefill != nil)
+	p.charge(j, prefill && j.plan.Prefill != nil, now)
 	if j.reading {
 		p.enqueueRead(j, now)
 	}
@@ -339,15 +357,6 @@
 	return p.pump(j.Service, now)
 }
 
-// Reserve returns the KV memory, in tokens, that is kept for a request at its decode endpoint.
-func (p *Planner) Reserve(id uint64) int {
-	j, ok := p.jobs[id]
-	if !ok {
-		return 0
-	}
-	return j.Prompt
-}
-
 // Full records that an endpoint refused a request for want of room.
 func (p *Planner) Full(id string, now time.Duration) {
 	if n, ok := p.nodes[id]; ok {
@@ -387,7 +396,7 @@
 		}
 		q.Pop()
 		j.plan = plan
-		p.charge(j, plan.Prefill != nil)
+		p.charge(j, plan.Prefill != nil, now)
 		if j.reading {
 			p.enqueueRead(j, now)
 		}
@@ -428,12 +437,11 @@
 		if n.Stage != Decode || n.Service != j.Service || n.ID == avoid || !n.open(now) {
 			continue
 		}
-		runs, tokens := p.used(n, now)
-		need := p.need(j)
-		if runs >= n.Slots || tokens+need > n.Memory {
+		runs, peak := p.used(n, j, now)
+		if runs >= n.Slots || float64(peak) > p.options.MemoryShare*float64(n.Memory) {
 			continue
 		}
-		score := max(float64(runs)/float64(n.Slots), float64(tokens)/float64(n.Memory))
+		score := max(float64(runs)/float64(n.Slots), float64(peak)/float64(n.Memory))
 		if n.Domain != p.options.Domain {
 			score += ownDomainShare
 		}
@@ -481,16 +489,30 @@
 	return !n.gone && now >= n.fullUntil && now >= n.ejectedUntil
 }
 
-// used sums what all gateways have on a decode endpoint.
-func (p *Planner) used(n *node, now time.Duration) (runs, tokens int) {
-	runs, tokens = n.own.Runs, n.own.Tokens
+// used counts what all gateways run on a decode endpoint, and how much KV memory they will fill at most if the
+// request joins them.
+func (p *Planner) used(n *node, j *job, now time.Duration) (runs, peak int) {
+	p.scratch = append(p.scratch[:0], Run{Prompt: j.Prompt, Output: j.Output})
+	for _, r := range n.own {
+		p.scratch = append(p.scratch, r.at(now))
+	}
 	for _, l := range n.peers {
-		if now-l.at < p.options.Stale {
-			runs += l.Runs
-			tokens += l.Tokens
+		age := now - l.at
+		if age >= p.options.Stale {
+			continue
+		}
+		for _, r := range l.Runs {
+			r.Age += age
+			p.scratch = append(p.scratch, r)
+		}
+	}
+	if now-n.heldAt < p.options.Stale {
+		// What the endpoint holds beyond what is known here runs for gateways out of reach.
+		for len(p.scratch)-1 < n.held {
+			p.scratch = append(p.scratch, Run{Prompt: j.Prompt, Output: j.Output, Age: unknownAge})
 		}
 	}
-	return runs, tokens
+	return len(p.scratch) - 1, peakOf(p.scratch, p.options.DecodeRate)
 }
 
 // readWait is the time until a prefill endpoint has read what all gateways gave it.
@@ -509,19 +531,13 @@
 	return time.Duration(float64(tokens) / p.options.PrefillRate * float64(time.Second))
 }
 
-func (p *Planner) need(j *job) int {
-	return j.Prompt + int(p.options.OutputShare*float64(j.Output))
-}
-
-func (p *Planner) charge(j *job, reading bool) {
-	j.tokens = p.need(j)
+func (p *Planner) charge(j *job, reading bool, now time.Duration) {
 	if n, ok := p.nodes[j.plan.Decode.ID]; ok {
-		n.own.Runs++
-		n.own.Tokens += j.tokens
+		n.own[j.ID] = Run{Prompt: j.Prompt, Output: j.Output, start: now}
 	}
 	j.reading = reading
 	if n, ok := p.nodes[prefillID(j.plan)]; ok && reading {
-		n.own.Backlog += j.Prompt
+		n.backlog += j.Prompt
 	}
 }
 
@@ -533,11 +549,10 @@
 
 func (p *Planner) release(j *job) {
 	if n, ok := p.nodes[j.plan.Decode.ID]; ok {
-		n.own.Runs--
-		n.own.Tokens -= j.tokens
+		delete(n.own, j.ID)
 	}
 	if n, ok := p.nodes[prefillID(j.plan)]; ok && j.reading {
-		n.own.Backlog -= j.Prompt
+		n.backlog -= j.Prompt
 	}
 	j.reading = false
 }
