Vouch only for what the own readings showed

Ruled out: the store's own readings. Ages told to others now come from own readings, less a margin for the way, and not right after a pause.

--- a/internal/config/tracker/tracker.go
+++ b/internal/config/tracker/tracker.go
@@ -18,6 +18,9 @@
 	current *matcher.Matcher
 	// proven is the latest time at which current was certainly the newest configuration; meaningful once current is set.
 	proven time.Duration
+	// seen is the same by the own readings alone. Only this age is told to others: ages that are passed on look younger
+	// by the time of each way.
+	seen time.Duration
 }
 
 // New returns a tracker without a configuration.
@@ -34,6 +37,7 @@
 		return false
 	}
 	t.proven = max(t.proven, at)
+	t.seen = max(t.seen, at)
 	if t.current != nil && m.Version() == t.current.Version() {
 		return false
 	}
@@ -41,9 +45,17 @@
 	return true
 }
 
-// Confirm records that a version was the newest one at a time, as the configuration's source or a peer says.
-// It proves nothing for another version than the one in force.
-func (t *Tracker) Confirm(version uint64, at time.Duration) {
+// Confirm records that the version in force was the newest one at a time, as its source says.
+func (t *Tracker) Confirm(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.proven = max(t.proven, at)
+	t.seen = max(t.seen, at)
+}
+
+// Vouch records that a version was the newest one at a time, as a peer says that has read it from the source. It
+// proves nothing for another version than the one in force.
+func (t *Tracker) Vouch(version uint64, at time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.current == nil || version != t.current.Version() {
@@ -52,6 +64,18 @@
 	t.proven = max(t.proven, at)
 }
 
+// Seen returns the version in force and how long ago the own readings showed it to be the newest; the version is
+// zero while none is known.
+func (t *Tracker) Seen() (version uint64, age time.Duration) {
+	now := t.clock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current == nil {
+		return 0, 0
+	}
+	return t.current.Version(), now - t.seen
+}
+
 // Current returns the configuration in force and its age: the time since it was known to be the newest one. m is
 // nil while none is known.
 func (t *Tracker) Current() (m *matcher.Matcher, age time.Duration) {
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -23,7 +23,7 @@
 	// idlest is the same while this gateway has no work.
 	idlest = 400 * time.Millisecond
 	// perGateway slows the pace down in a large fleet, so that a gateway's messages a second stay bounded.
-	perGateway = 10 * time.Millisecond
+	perGateway = 4 * time.Millisecond
 	// seedEvery is the pause between two messages to a seed that is not known as a gateway.
 	seedEvery = 500 * time.Millisecond
 	// forget is the silence after which a gateway is dropped.
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -160,7 +160,7 @@
 	}
 	current, _ := e.tracker.Current()
 	if current != nil && !slices.Contains(u.Changed, e.sources.ConfigKey) {
-		e.tracker.Confirm(current.Version(), u.At)
+		e.tracker.Confirm(u.At)
 		return
 	}
 	content, err := e.sources.DecodeConfig(item.Value)
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -21,6 +21,14 @@
 // tickEvery is how often waiting generations are looked at.
 const tickEvery = 20 * time.Millisecond
 
+const (
+	// awakeWithin is the longest pause between two own messages of a process that has run all the while. After a longer
+	// one, messages that are read may have waited, and the ages in them are too young.
+	awakeWithin = time.Second
+	// transit is taken off for a message's way.
+	transit = 50 * time.Millisecond
+)
+
 // Parts are the decisions that a director holds.
 type Parts struct {
 	Clock    clock.Clock
@@ -49,6 +57,8 @@
 	// busy counts requests in progress.
 	busy     int
 	gateways map[string]bool
+	// composedAt is when the own state was composed last.
+	composedAt time.Duration
 	wake     chan struct{}
 }
 
@@ -287,13 +297,12 @@
 
 // Compose returns what to tell the other gateways.
 func (d *Director) Compose(levels bool) (m gossiper.Message, busy bool) {
-	config, age := d.tracker.Current()
+	version, age := d.tracker.Seen()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock()
-	if config != nil {
-		m.Version, m.Age = config.Version(), age.Milliseconds()
-	}
+	d.composedAt = now
+	m.Version, m.Age = version, age.Milliseconds()
 	for id, l := range d.planner.Loads(now) {
 		m.Loads = append(m.Loads, encodeLoad(id, l))
 	}
@@ -321,7 +330,9 @@
 		loads[l.Endpoint] = decodeLoad(l)
 	}
 	d.planner.Peer(m.From, loads, now)
-	d.tracker.Confirm(m.Version, now-time.Duration(m.Age)*time.Millisecond)
+	if now-d.composedAt < awakeWithin {
+		d.tracker.Vouch(m.Version, now-time.Duration(m.Age)*time.Millisecond-transit)
+	}
 	if d.planner.Waiting() > 0 {
 		d.deliver(d.planner.Tick(now))
 	}
