Turn spare prefill endpoints into decode endpoints

Cause: a third of the endpoints read prompts, which takes a sixth of the work at the caps of all plans, while decode slots and KV memory run short in every burst. The gateway with the first address, in touch with more than half of the others for 4 s, orders the spare ones over, with fencing tokens that rise.

--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -85,10 +85,11 @@
 func edgeSources(s platform.Settings) edge.Sources {
 	pool := exchanger.New(exchanger.Options{Dial: edgeDial, Idle: edgeIdle}, clock.Boot)
 	store := exchanger.New(exchanger.Options{Dial: edgeDial, Idle: storeIdle}, clock.Boot)
+	endpoints := platform.NewEndpoints(pool)
 	return edge.Sources{
 		Store: platform.NewStore(store, s.Store), ConfigPrefix: platform.PrefixConfig, ConfigKey: platform.KeyConfig,
 		EndpointPrefix: platform.PrefixEndpoints, DecodeConfig: platform.DecodeConfig, DecodeEndpoint: platform.DecodeEndpoint,
-		Endpoints: platform.NewEndpoints(pool), Pool: pool,
+		Endpoints: endpoints, Orders: endpoints, Pool: pool,
 	}
 }
 
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -86,6 +86,26 @@
 	return len(g.peers) + 1
 }
 
+// Order tells whether this gateway has the first address of those heard from lately, how many those are, and how many
+// gateways are known, this one included in both.
+func (g *Gossiper) Order(lately time.Duration) (first bool, heard, known int) {
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first, heard, known = true, 1, 1
+	for name, p := range g.peers {
+		known++
+		if now-p.heard > lately {
+			continue
+		}
+		heard++
+		if name < g.self {
+			first = false
+		}
+	}
+	return first, heard, known
+}
+
 // Sent returns the bytes sent so far.
 func (g *Gossiper) Sent() uint64 {
 	g.mu.Lock()
--- a/internal/fleet/gossiper/message.go
+++ b/internal/fleet/gossiper/message.go
@@ -49,6 +49,8 @@
 	// Levels are the tokens that each account has left.
 	Levels map[string]float64 `json:"level,omitempty"`
 	Blames []Blame            `json:"blame,omitempty"`
+	// Ordered are the ages, in ms, of the latest orders to endpoints.
+	Ordered map[string]int64 `json:"order,omitempty"`
 	// Known are the addresses of some other gateways.
 	Known []string `json:"known,omitempty"`
 }
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/director"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
 	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
@@ -57,6 +58,7 @@
 	DecodeConfig   func(b []byte) (matcher.Content, error)
 	DecodeEndpoint func(key string, b []byte) (lister.Endpoint, error)
 	Endpoints      forwarder.Endpoints
+	Orders         Orders
 	// Pool holds the connections that Endpoints uses.
 	Pool *exchanger.Exchanger
 }
@@ -79,6 +81,10 @@
 	doubtAge = 2200 * time.Millisecond
 	// leaveLeast is the least time after which callers give up a stream without events.
 	leaveLeast = 2400 * time.Millisecond
+	// prefillRate is the speed of reading prompts, in tokens a second.
+	prefillRate = 55000
+	// heardLately is the age of a message up to which its sender counts for the giving of orders.
+	heardLately = 1500 * time.Millisecond
 	// sweepEvery is how often unused connections are looked at.
 	sweepEvery = time.Second
 	// drainPoll is how often a stopping process looks whether its work has ended.
@@ -116,7 +122,7 @@
 	}
 	e.director = director.New(director.Parts{
 		Clock: clock.Boot, Tracker: e.tracker, Planner: planner.New(planOptions(o.Domain)), Balancer: balancer.New(o.Domain),
-		Capper: capper.New(o.Limits, clock.Boot()), Retrier: retrier.New(o.Repeat),
+		Capper: capper.New(o.Limits, clock.Boot()), Retrier: retrier.New(o.Repeat), Balance: rebalancer.New(balanceOptions()),
 	})
 	revoke := o.Revoke - revokeMargin
 	e.forwarder = forwarder.New(forwarder.Options{Revoke: revoke, Doubt: doubtAge, Leave: leaveLeast}, clock.Boot, e.tracker, e.director, s.Endpoints, logger)
@@ -127,11 +133,15 @@
 
 func planOptions(domain string) planner.Options {
 	return planner.Options{
-		Domain: domain, PrefillRate: 55000, Lead: 60 * time.Millisecond, Backlog: 450 * time.Millisecond,
+		Domain: domain, PrefillRate: prefillRate, Lead: 60 * time.Millisecond, Backlog: 450 * time.Millisecond,
 		Wait: 2500 * time.Millisecond, DecodeRate: 1700, MemoryShare: 0.95, Stale: 1500 * time.Millisecond,
 	}
 }
 
+func balanceOptions() rebalancer.Options {
+	return rebalancer.Options{PrefillRate: prefillRate, PromptShare: 0.4, Busy: 0.85, Settle: 4 * time.Second, Again: 15 * time.Second}
+}
+
 func (e *Edge) supervise() {
 	config := follower.Options{Prefix: e.sources.ConfigPrefix, Wait: configWait}
 	endpoints := follower.Options{
@@ -141,6 +151,10 @@
 	e.supervisor.Add(follower.New(e.sources.Store, endpoints, clock.Boot, e.log, e.list))
 	e.supervisor.Add(e.director)
 	e.supervisor.Add(e.gossiper)
+	e.supervisor.Add(&orderer{
+		name: e.options.Name, director: e.director, orders: e.sources.Orders, ready: e.Ready, log: e.log,
+		gateways: func() (bool, int, int) { return e.gossiper.Order(heardLately) },
+	})
 	e.supervisor.Add(&sweeper{pool: e.sources.Pool})
 }
 
--- /dev/null
+++ b/internal/process/edge/orderer.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/director"
+	"github.com/pistachiovane/pistachiovane/service/supervision"
+)
+
+const (
+	// orderEvery is how often the stages of endpoints are looked at, orderTimeout bounds an order.
+	orderEvery   = time.Second
+	orderTimeout = time.Second
+)
+
+// Orders tells endpoints to change.
+type Orders interface {
+	// Decode tells a prefill endpoint to become a decode endpoint. The fencing token must be higher than that of any
+	// earlier order. accepted is false where the endpoint refused.
+	Decode(ctx context.Context, address, instance, holder string, fence int64) (accepted bool, err error)
+}
+
+// orderer gives the orders that the director decides on.
+type orderer struct {
+	name     string
+	director *director.Director
+	orders   Orders
+	ready    func() bool
+	gateways func() (first bool, heard, known int)
+	log      *log.Logger
+	// fence is the highest fencing token used.
+	fence int64
+}
+
+// Serve looks after the stages until the context ends.
+func (o *orderer) Serve(ctx context.Context) error {
+	return supervision.Every(ctx, orderEvery, func() { o.look(ctx) })
+}
+
+func (o *orderer) look(ctx context.Context) {
+	first, heard, known := o.gateways()
+	for _, t := range o.director.Rebalance(first && o.ready(), heard, known) {
+		o.order(ctx, t)
+	}
+}
+
+func (o *orderer) order(ctx context.Context, t director.Target) {
+	// A later gateway's token is higher because it waits before its first order, for longer than clocks differ.
+	o.fence = max(o.fence+1, time.Now().UnixMilli())
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	accepted, err := o.orders.Decode(ctx, t.Address, t.ID, o.name, o.fence)
+	o.log.Info().Str("endpoint", t.ID).Int64("fence", o.fence).Bool("accepted", accepted).Err(err).Msg("order: become a decode endpoint")
+}
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -59,5 +59,5 @@
 	}
 	e.Uint64("version", j.version).Int64("age_ms", j.age.Milliseconds()).Int("status", j.record.status).
 		Str("reason", j.record.reason).Int("calls", j.record.calls).Int64("waited_ms", j.record.waited.Milliseconds()).
-		Int("events", j.record.events).Int64("total_ms", (f.clock()-j.since).Milliseconds()).Msg("forward: done")
+		Int("events", j.record.events).Int64("total_ms", (f.clock() - j.since).Milliseconds()).Msg("forward: done")
 }
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -138,7 +138,7 @@
 
 // share returns the share of failures, which fades while the endpoint gets no requests.
 func (n *node) share(now time.Duration) float64 {
-	return n.failing * math.Exp(-(now - n.judgedAt).Seconds()/forgiveOver.Seconds())
+	return n.failing * math.Exp(-(now-n.judgedAt).Seconds()/forgiveOver.Seconds())
 }
 
 // End counts a request off its endpoint.
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -16,12 +16,15 @@
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
 )
 
 // tickEvery is how often waiting generations are looked at.
 const tickEvery = 20 * time.Millisecond
 
 const (
+	// switchWithin is how long an endpoint's change of stage takes to show in the list, at most.
+	switchWithin = 9 * time.Second
 	// awakeWithin is the longest pause between two own messages of a process that has run all the while. After a longer
 	// one, messages that are read may have waited, and the ages in them are too young.
 	awakeWithin = time.Second
@@ -37,6 +40,7 @@
 	Balancer *balancer.Balancer
 	Capper   *capper.Capper
 	Retrier  *retrier.Retrier
+	Balance  *rebalancer.Rebalancer
 }
 
 // Director is safe for concurrent use.
@@ -49,6 +53,7 @@
 	balancer *balancer.Balancer
 	capper   *capper.Capper
 	retrier  *retrier.Retrier
+	balance  *rebalancer.Rebalancer
 	// config is the configuration that the parts were set to; listed are the endpoints.
 	config  *matcher.Matcher
 	listed  []lister.Endpoint
@@ -59,13 +64,13 @@
 	gateways map[string]bool
 	// composedAt is when the own state was composed last.
 	composedAt time.Duration
-	wake     chan struct{}
+	wake       chan struct{}
 }
 
 // New returns a director of the parts; they must not be used by others.
 func New(p Parts) *Director {
 	return &Director{
-		clock: p.Clock, tracker: p.Tracker, planner: p.Planner, balancer: p.Balancer, capper: p.Capper, retrier: p.Retrier,
+		clock: p.Clock, tracker: p.Tracker, planner: p.Planner, balancer: p.Balancer, capper: p.Capper, retrier: p.Retrier, balance: p.Balance,
 		waiting: map[uint64]chan planner.Verdict{}, gateways: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -127,10 +132,15 @@
 func (d *Director) place() {
 	var models []planner.Endpoint
 	var plain []balancer.Endpoint
+	recent := d.balance.Recent(switchWithin, d.clock())
 	for _, e := range d.listed {
 		if e.Leaving {
 			continue
 		}
+		if _, ordered := recent[e.ID]; ordered && e.Prefill {
+			// The order is under way; the list still shows the stage before.
+			continue
+		}
 		if e.Model {
 			models = append(models, d.model(e))
 			continue
@@ -306,6 +316,12 @@
 	for id, l := range d.planner.Loads(now) {
 		m.Loads = append(m.Loads, encodeLoad(id, l))
 	}
+	for id, at := range d.balance.Recent(switchWithin, now) {
+		if m.Ordered == nil {
+			m.Ordered = make(map[string]int64)
+		}
+		m.Ordered[id] = (now - at).Milliseconds()
+	}
 	m.Totals = d.capper.Totals()
 	m.Young = d.capper.Young(now)
 	if levels && !m.Young {
@@ -325,6 +341,7 @@
 	}
 	d.capper.Hear(m.From, m.Incarnation, m.Totals, now)
 	d.capper.Adopt(m.Levels, now)
+	d.ordered(m.Ordered, now)
 	loads := make(map[string]planner.Load, len(m.Loads))
 	for _, l := range m.Loads {
 		loads[l.Endpoint] = decodeLoad(l)
@@ -338,6 +355,60 @@
 	}
 }
 
+// ordered takes in the orders of another gateway.
+func (d *Director) ordered(ages map[string]int64, now time.Duration) {
+	recent := d.balance.Recent(switchWithin, now)
+	news := false
+	for id, age := range ages {
+		_, known := recent[id]
+		news = news || !known
+		d.balance.Ordered(id, now-time.Duration(age)*time.Millisecond)
+	}
+	if news {
+		d.place()
+	}
+}
+
+// Target is an endpoint that is to change its stage.
+type Target struct {
+	ID      string
+	Address string
+}
+
+// Rebalance returns the endpoints that are to be ordered now, and counts them as ordered.
+func (d *Director) Rebalance(first bool, heard, known int) []Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	d.balance.Lead(first, heard, known, now)
+	if d.config == nil {
+		return nil
+	}
+	tokens := 0.0
+	for _, a := range d.config.Accounts() {
+		tokens += a.Rate
+	}
+	byService := make(map[string][]rebalancer.Endpoint)
+	addresses := make(map[string]string)
+	for _, e := range d.listed {
+		if e.Model && !e.Leaving {
+			byService[e.Service] = append(byService[e.Service], rebalancer.Endpoint{ID: e.ID, Service: e.Service, Domain: e.Domain, Prefill: e.Prefill})
+			addresses[e.ID] = e.Address
+		}
+	}
+	var out []Target
+	for _, endpoints := range byService {
+		for _, id := range d.balance.Decide(endpoints, tokens, now) {
+			d.balance.Ordered(id, now)
+			out = append(out, Target{ID: id, Address: addresses[id]})
+		}
+	}
+	if len(out) > 0 {
+		d.place()
+	}
+	return out
+}
+
 func encodeLoad(id string, l planner.Load) gossiper.Load {
 	out := gossiper.Load{Endpoint: id, Backlog: l.Backlog}
 	for _, r := range l.Runs {
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -147,9 +147,9 @@
 // job is a request that waits or runs.
 type job struct {
 	Request
-	lane   scheduler.Class
-	since  time.Duration
-	plan   *Plan
+	lane  scheduler.Class
+	since time.Duration
+	plan  *Plan
 	// reading is set until the prompt has been read.
 	reading bool
 }
@@ -584,7 +584,7 @@
 }
 
 func (p *Planner) decayed(now time.Duration) float64 {
-	return p.starts * math.Exp(-(now - p.startsAt).Seconds()/rateOver.Seconds())
+	return p.starts * math.Exp(-(now-p.startsAt).Seconds()/rateOver.Seconds())
 }
 
 // expectedWait is how long a request that joins the queue now would wait, by the rate of the own starts.
--- /dev/null
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -0,0 +1,139 @@
+// Package rebalancer decides which model endpoints change their stage. Prompts are read much faster than answers are
+// made, so a fleet with a fixed part of prefill endpoints runs out of decode slots while its readers idle. The number of
+// prefill endpoints follows from the prompts that all plans together allow; the rest makes answers.
+package rebalancer
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Endpoint is a model endpoint.
+type Endpoint struct {
+	ID      string
+	Service string
+	Domain  string
+	Prefill bool
+}
+
+// Options are the bounds of a rebalancer.
+type Options struct {
+	// PrefillRate is the speed of reading prompts, in tokens a second.
+	PrefillRate float64
+	// PromptShare is the part of the tokens of a request that are prompt.
+	PromptShare float64
+	// Busy is the part of its time that a prefill endpoint may read.
+	Busy float64
+	// Settle is how long this gateway must have been the one that gives orders, and how long an endpoint is left
+	// alone after an order, whoever gave it.
+	Settle time.Duration
+	Again  time.Duration
+}
+
+// Rebalancer gives orders for one gateway. It is not safe for concurrent use.
+type Rebalancer struct {
+	options Options
+	// leads tells since when this gateway gives the orders; meaningful while leading.
+	leads   time.Duration
+	leading bool
+	// ordered is when each endpoint was ordered last, by any gateway.
+	ordered map[string]time.Duration
+}
+
+// New returns a rebalancer that knows of no orders.
+func New(o Options) *Rebalancer {
+	return &Rebalancer{options: o, ordered: map[string]time.Duration{}}
+}
+
+// Lead records whether this gateway is the one that gives orders: the first of those that it hears, which are more
+// than half of those that it knows.
+func (r *Rebalancer) Lead(first bool, heard, known int, now time.Duration) {
+	leading := first && 2*heard > known
+	if leading && !r.leading {
+		r.leads = now
+	}
+	r.leading = leading
+}
+
+// Ordered records an order of any gateway.
+func (r *Rebalancer) Ordered(id string, at time.Duration) {
+	r.ordered[id] = max(at, r.ordered[id])
+}
+
+// Recent returns the endpoints ordered within a time, with the time of the order.
+func (r *Rebalancer) Recent(within, now time.Duration) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for id, at := range r.ordered {
+		switch age := now - at; {
+		case age <= within:
+			out[id] = at
+		case age > 2*within:
+			delete(r.ordered, id)
+		}
+	}
+	return out
+}
+
+// Decide returns the prefill endpoints of a service that are to become decode endpoints. Tokens is what all plans
+// together allow a second.
+func (r *Rebalancer) Decide(endpoints []Endpoint, tokens float64, now time.Duration) []string {
+	if !r.leading || now-r.leads < r.options.Settle {
+		return nil
+	}
+	byDomain := make(map[string][]string)
+	readers := 0
+	for _, e := range endpoints {
+		if e.Prefill && !r.busy(e.ID, now) {
+			byDomain[e.Domain] = append(byDomain[e.Domain], e.ID)
+			readers++
+		}
+	}
+	spare := readers - r.readers(len(endpoints), tokens)
+	var out []string
+	for ; spare > 0; spare-- {
+		id, ok := next(byDomain)
+		if !ok {
+			break
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+// readers returns how many prefill endpoints a service needs; one more than the prompts ask for, so that one may fail.
+func (r *Rebalancer) readers(endpoints int, tokens float64) int {
+	need := int(math.Ceil(tokens * r.options.PromptShare / (r.options.PrefillRate * r.options.Busy)))
+	return min(endpoints-1, max(1, need))
+}
+
+// busy tells whether an endpoint was ordered so lately that its change may still be under way.
+func (r *Rebalancer) busy(id string, now time.Duration) bool {
+	at, known := r.ordered[id]
+	return known && now-at < r.options.Again
+}
+
+// next takes an endpoint from the domain with the most prefill endpoints.
+func next(byDomain map[string][]string) (id string, ok bool) {
+	domains := make([]string, 0, len(byDomain))
+	for d := range byDomain {
+		domains = append(domains, d)
+	}
+	sort.Slice(domains, func(i, j int) bool {
+		a, b := domains[i], domains[j]
+		if len(byDomain[a]) != len(byDomain[b]) {
+			return len(byDomain[a]) > len(byDomain[b])
+		}
+		return a < b
+	})
+	for _, d := range domains {
+		ids := byDomain[d]
+		if len(ids) == 0 {
+			continue
+		}
+		sort.Strings(ids)
+		byDomain[d] = ids[1:]
+		return ids[0], true
+	}
+	return "", false
+}
