Read the store with few calls: long watches, few readers of the list, changes by gossip

Now watches of the configuration wait longer the more gateways vouch for each other, four gateways read the list often and tell the rest. Chance spreads both.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -16,6 +16,9 @@
 // ErrHistoryLost tells that the store no longer holds the changes since a revision; the part must be read anew.
 var ErrHistoryLost = errors.New("store: history lost")
 
+// errNudged ends a watch that a nudge cut short.
+var errNudged = errors.New("store: nudged")
+
 const (
 	// failurePause is the wait after a failed call.
 	failurePause = 150 * time.Millisecond
@@ -47,8 +50,9 @@
 	Items map[string]Item
 	// Changed lists the keys that were written or removed since the update before.
 	Changed []string
-	// At is a time at which the copy was certainly complete.
-	At time.Duration
+	// At is a time at which the copy was certainly complete, Revision the store's revision then.
+	At       time.Duration
+	Revision uint64
 	// Whole is set where the part was read anew.
 	Whole bool
 }
@@ -57,10 +61,8 @@
 type Options struct {
 	// Prefix names the part of the store.
 	Prefix string
-	// Wait is the longest wait of a watch.
-	Wait time.Duration
-	// Pace is the least time between two calls that both return changes.
-	Pace time.Duration
+	// Pace returns the longest wait of a watch, and the least time between two calls that both return changes.
+	Pace func() (wait, pause time.Duration)
 	// Grace is how long an entry that is missing after an outage is still kept.
 	Grace time.Duration
 	// Outage is how long the store must have been out of reach for Grace to apply.
@@ -85,11 +87,21 @@
 	// lenient is the time up to which missing entries are kept; held are the removals put off until then.
 	lenient time.Duration
 	held    map[string]bool
+	// wake is signalled by Nudge.
+	wake chan struct{}
 }
 
 // New returns a follower that hands each update to apply, from its own goroutine.
 func New(s Source, o Options, c clock.Clock, l *log.Logger, apply func(Update)) *Follower {
-	return &Follower{source: s, options: o, clock: c, log: l, apply: apply, items: map[string]Item{}, held: map[string]bool{}}
+	return &Follower{source: s, options: o, clock: c, log: l, apply: apply, items: map[string]Item{}, held: map[string]bool{}, wake: make(chan struct{}, 1)}
+}
+
+// Nudge has the part read anew at once: somebody else has seen a newer one.
+func (f *Follower) Nudge() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Serve follows the store until the context ends.
@@ -104,13 +116,54 @@
 			continue
 		}
 		f.pause = 0
-		if rest := f.options.Pace - (f.clock() - began); changes && rest > 0 {
-			supervision.Sleep(ctx, rest)
+		_, pause := f.options.Pace()
+		if rest := pause - (f.clock() - began); changes && rest > 0 {
+			f.rest(ctx, rest)
 		}
 	}
 	return ctx.Err()
 }
 
+// rest waits until the next call is due, or a nudge.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wake:
+		f.known = false
+	}
+}
+
+// watch asks for changes until there are some, the wait is over or somebody nudges.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (items []Item, revision uint64, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
+	nudged := make(chan struct{})
+	go f.loopNudge(done, nudged, cancel)
+	items, revision, err = f.source.Watch(ctx, f.options.Prefix, f.revision, wait)
+	select {
+	case <-nudged:
+		f.known = false
+		return nil, f.revision, errNudged
+	default:
+		return items, revision, err
+	}
+}
+
+// loopNudge ends a watch when somebody nudges.
+func (f *Follower) loopNudge(done <-chan struct{}, nudged chan<- struct{}, cancel context.CancelFunc) {
+	select {
+	case <-done:
+	case <-f.wake:
+		close(nudged)
+		cancel()
+	}
+}
+
 // step makes one call and reports whether it brought changes.
 func (f *Follower) step(ctx context.Context) (changes bool, err error) {
 	began := f.clock()
@@ -123,7 +176,11 @@
 		f.replace(items, revision, began)
 		return true, nil
 	}
-	items, revision, err := f.source.Watch(ctx, f.options.Prefix, f.revision, f.options.Wait)
+	wait, _ := f.options.Pace()
+	items, revision, err := f.watch(ctx, wait)
+	if errors.Is(err, errNudged) {
+		return false, nil
+	}
 	if errors.Is(err, ErrHistoryLost) {
 		f.log.Warn().Str("prefix", f.options.Prefix).Uint64("revision", f.revision).Msg("store: history lost, reading anew")
 		f.known = false
@@ -133,6 +190,10 @@
 		return false, err
 	}
 	f.succeeded(began)
+	if len(items) == 0 && f.clock()-began >= wait {
+		// The store waited all the while and saw nothing change.
+		began += wait
+	}
 	f.change(items, revision, began)
 	return len(items) > 0, nil
 }
@@ -183,7 +244,7 @@
 		changed = append(changed, key)
 	}
 	f.items, f.revision, f.known = fresh, revision, true
-	f.apply(Update{Items: f.items, Changed: changed, At: at, Whole: true})
+	f.apply(Update{Items: f.items, Changed: changed, At: at, Revision: revision, Whole: true})
 }
 
 // change takes in what has changed since the last call.
@@ -204,7 +265,7 @@
 		changed = append(changed, i.Key)
 	}
 	f.revision = max(f.revision, revision)
-	f.apply(Update{Items: f.items, Changed: changed, At: at})
+	f.apply(Update{Items: f.items, Changed: changed, At: at, Revision: f.revision})
 }
 
 // releaseHeld drops the entries that did not come back in time after an outage.
@@ -218,5 +279,5 @@
 		changed = append(changed, key)
 	}
 	clear(f.held)
-	f.apply(Update{Items: f.items, Changed: changed, At: f.seen})
+	f.apply(Update{Items: f.items, Changed: changed, At: f.seen, Revision: f.revision})
 }
--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -106,6 +106,24 @@
 	return first, heard, known
 }
 
+// Place returns the place of this gateway among those heard from lately, by address, and how many those are.
+func (g *Gossiper) Place(lately time.Duration) (place, heard int) {
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard = 1
+	for name, p := range g.peers {
+		if now-p.heard > lately {
+			continue
+		}
+		heard++
+		if name < g.self {
+			place++
+		}
+	}
+	return place, heard
+}
+
 // Sent returns the bytes sent so far.
 func (g *Gossiper) Sent() uint64 {
 	g.mu.Lock()
--- a/internal/fleet/gossiper/message.go
+++ b/internal/fleet/gossiper/message.go
@@ -5,6 +5,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 )
 
 // method names the one notification between gateways.
@@ -30,6 +32,16 @@
 	Age int64 `json:"a"`
 }
 
+// Entry is a change of the endpoint list that the sender read from the store.
+type Entry struct {
+	Key string `json:"k"`
+	// Revision is the store's.
+	Revision uint64 `json:"r"`
+	// Gone is set where the entry was removed; Endpoint is empty then.
+	Gone     bool             `json:"g,omitempty"`
+	Endpoint *lister.Endpoint `json:"e,omitempty"`
+}
+
 // Message is what a gateway tells the others of itself.
 type Message struct {
 	// From is the address that the sender listens on.
@@ -51,6 +63,8 @@
 	Blames []Blame            `json:"blame,omitempty"`
 	// Ordered are the ages, in ms, of the latest orders to endpoints.
 	Ordered map[string]int64 `json:"order,omitempty"`
+	// Entries are the latest changes of the endpoint list.
+	Entries []Entry `json:"list,omitempty"`
 	// Known are the addresses of some other gateways.
 	Known []string `json:"known,omitempty"`
 }
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -1,6 +1,8 @@
-// Package lister describes the endpoints that the platform lists.
+// Package lister holds the endpoints that the platform lists.
 package lister
 
+import "time"
+
 // Endpoint is one start of an endpoint.
 type Endpoint struct {
 	// ID names one start of the endpoint; a request that expects another one is not run.
@@ -15,3 +17,82 @@
 	Model   bool
 	Prefill bool
 }
+
+// Entry is an endpoint under its key, as of a revision of the store.
+type Entry struct {
+	Key      string
+	Revision uint64
+	// Gone is set where the entry was removed.
+	Gone     bool
+	Endpoint Endpoint
+}
+
+// Lister holds the endpoint list, from own readings and from those of other gateways. For each key the newest
+// revision counts, wherever it came from. It is not safe for concurrent use.
+type Lister struct {
+	entries map[string]Entry
+	// changed is when each key changed last, for passing on.
+	changed map[string]time.Duration
+}
+
+// New returns an empty list.
+func New() *Lister {
+	return &Lister{entries: map[string]Entry{}, changed: map[string]time.Duration{}}
+}
+
+// Apply takes in an entry and tells whether it changed the list.
+func (l *Lister) Apply(e Entry, now time.Duration) bool {
+	old, had := l.entries[e.Key]
+	if had && e.Revision < old.Revision {
+		return false
+	}
+	l.entries[e.Key] = e
+	if had && old.Gone == e.Gone && old.Endpoint == e.Endpoint {
+		return false
+	}
+	if !had && e.Gone {
+		return false
+	}
+	l.changed[e.Key] = now
+	return true
+}
+
+// Keys returns the keys of all endpoints that are there.
+func (l *Lister) Keys() []string {
+	var out []string
+	for key, e := range l.entries {
+		if !e.Gone {
+			out = append(out, key)
+		}
+	}
+	return out
+}
+
+// Endpoints returns all endpoints that are there.
+func (l *Lister) Endpoints() []Endpoint {
+	out := make([]Endpoint, 0, len(l.entries))
+	for _, e := range l.entries {
+		if !e.Gone {
+			out = append(out, e.Endpoint)
+		}
+	}
+	return out
+}
+
+// Recent returns the entries that changed within a time. Removed ones are forgotten after the keep time.
+func (l *Lister) Recent(within, keep, now time.Duration) []Entry {
+	var out []Entry
+	for key, at := range l.changed {
+		if now-at <= within {
+			out = append(out, l.entries[key])
+			continue
+		}
+		if now-at > keep {
+			delete(l.changed, key)
+			if l.entries[key].Gone {
+				delete(l.entries, key)
+			}
+		}
+	}
+	return out
+}
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -64,11 +64,27 @@
 }
 
 const (
-	// configWait is the longest wait of a watch of the configuration, which proves that it is current.
-	configWait = 900 * time.Millisecond
-	// endpointWait is that of the endpoint list, endpointPace the least time between two reads of its changes.
-	endpointWait = 1500 * time.Millisecond
-	endpointPace = 900 * time.Millisecond
+	// Watches of the configuration wait for configWait a gateway, between the bounds: the others tell meanwhile how
+	// current theirs is, so that the store's calls do not grow with the fleet.
+	configWait      = 300 * time.Millisecond
+	configWaitLeast = 900 * time.Millisecond
+	configWaitMost  = 6 * time.Second
+	// readers is how many gateways read the endpoint list every endpointPause; the others do every listenerPause, and
+	// hear of changes from the readers.
+	readers       = 4
+	endpointWait  = 1500 * time.Millisecond
+	endpointPause = 900 * time.Millisecond
+	listenerPause = 5 * time.Second
+	// tellFor is how long a change of the list is told to the others, removedFor how long a removal is remembered.
+	tellFor    = 3 * time.Second
+	removedFor = 30 * time.Second
+	// behindFor is how long another gateway has a newer configuration before it is read out of turn.
+	behindFor = 250 * time.Millisecond
+	// nudgeAge is the age from which the configuration is read out of turn, every nudgeEvery. The first gateways that do
+	// spare the others the call, so they differ by nudgeSpread.
+	nudgeAge    = 1200 * time.Millisecond
+	nudgeSpread = 1500 * time.Millisecond
+	nudgeEvery  = time.Second
 	// lapseGrace is how long entries that lapsed while the store was away have to come back, lapseOutage how long it
 	// must have been away.
 	lapseGrace  = 2 * time.Second
@@ -108,17 +124,23 @@
 	gossiper   *gossiper.Gossiper
 	draining   atomic.Bool
 
-	mu        sync.Mutex
-	endpoints map[string]lister.Endpoint
-	// listed is set once the endpoint list was read.
-	listed bool
+	// config and endpoints read the store.
+	config    *follower.Follower
+	endpoints *follower.Follower
+
+	mu     sync.Mutex
+	lister *lister.Lister
+	// behindAt is when another gateway was first heard to have a newer configuration; zero while none has.
+	behindAt time.Duration
+	// nudgedAt is when the configuration was last read out of turn because it might be old.
+	nudgedAt time.Duration
 }
 
 // New returns a gateway that gossips on a socket.
 func New(o Options, s Sources, gossip *net.UDPConn, logger *log.Logger) *Edge {
 	e := &Edge{
 		options: o, sources: s, log: logger, supervisor: supervision.New(o.Name, logger), tracker: tracker.New(clock.Boot),
-		endpoints: map[string]lister.Endpoint{},
+		lister: lister.New(),
 	}
 	e.director = director.New(director.Parts{
 		Clock: clock.Boot, Tracker: e.tracker, Planner: planner.New(planOptions(o.Domain)), Balancer: balancer.New(o.Domain),
@@ -126,7 +148,7 @@
 	})
 	revoke := o.Revoke - revokeMargin
 	e.forwarder = forwarder.New(forwarder.Options{Revoke: revoke, Doubt: doubtAge, Leave: leaveLeast}, clock.Boot, e.tracker, e.director, s.Endpoints, logger)
-	e.gossiper = gossiper.New(gossip, o.Self.String(), o.Seeds, clock.Boot, e.director, logger)
+	e.gossiper = gossiper.New(gossip, o.Self.String(), o.Seeds, clock.Boot, e, logger)
 	e.supervise()
 	return e
 }
@@ -143,12 +165,12 @@
 }
 
 func (e *Edge) supervise() {
-	config := follower.Options{Prefix: e.sources.ConfigPrefix, Wait: configWait}
-	endpoints := follower.Options{
-		Prefix: e.sources.EndpointPrefix, Wait: endpointWait, Pace: endpointPace, Grace: lapseGrace, Outage: lapseOutage,
-	}
-	e.supervisor.Add(follower.New(e.sources.Store, config, clock.Boot, e.log, e.configure))
-	e.supervisor.Add(follower.New(e.sources.Store, endpoints, clock.Boot, e.log, e.list))
+	config := follower.Options{Prefix: e.sources.ConfigPrefix, Pace: e.configPace}
+	endpoints := follower.Options{Prefix: e.sources.EndpointPrefix, Pace: e.endpointPace, Grace: lapseGrace, Outage: lapseOutage}
+	e.config = follower.New(e.sources.Store, config, clock.Boot, e.log, e.configure)
+	e.endpoints = follower.New(e.sources.Store, endpoints, clock.Boot, e.log, e.list)
+	e.supervisor.Add(e.config)
+	e.supervisor.Add(e.endpoints)
 	e.supervisor.Add(e.director)
 	e.supervisor.Add(e.gossiper)
 	e.supervisor.Add(&orderer{
@@ -193,52 +215,48 @@
 
 // list takes in the endpoint list as the store holds it.
 func (e *Edge) list(u follower.Update) {
+	now := clock.Boot()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	changed := !e.listed
-	e.listed = true
 	keys := u.Changed
 	if u.Whole {
-		keys = slices.Collect(maps.Keys(u.Items))
-		for key := range e.endpoints {
-			if _, ok := u.Items[key]; !ok {
-				keys = append(keys, key)
-			}
-		}
+		keys = append(slices.Collect(maps.Keys(u.Items)), e.lister.Keys()...)
 	}
+	var changed []lister.Entry
 	for _, key := range keys {
-		changed = e.listOne(key, u) || changed
-	}
-	if changed {
-		e.director.List(slices.Collect(maps.Values(e.endpoints)))
+		entry := e.entry(key, u)
+		if e.lister.Apply(entry, now) {
+			changed = append(changed, entry)
+		}
 	}
+	e.relist(changed, "store")
 }
 
-// listOne takes in one entry and tells whether anything changed.
-func (e *Edge) listOne(key string, u follower.Update) bool {
-	old, had := e.endpoints[key]
+// entry decodes what an update holds under a key; what can't be read names no endpoint.
+func (e *Edge) entry(key string, u follower.Update) lister.Entry {
 	item, ok := u.Items[key]
 	if !ok {
-		if had {
-			delete(e.endpoints, key)
-			e.sources.Pool.Forget(old.Address)
-			e.log.Info().Str("endpoint", old.ID).Str("address", old.Address).Msg("list: endpoint gone")
-		}
-		return had
+		return lister.Entry{Key: key, Revision: u.Revision, Gone: true}
 	}
-	fresh, err := e.sources.DecodeEndpoint(key, item.Value)
+	endpoint, err := e.sources.DecodeEndpoint(key, item.Value)
 	if err != nil {
 		e.log.Warn().Str("key", key).Err(err).Msg("list: entry not understood")
-		delete(e.endpoints, key)
-		return had
+		return lister.Entry{Key: key, Revision: item.Revision, Gone: true}
+	}
+	return lister.Entry{Key: key, Revision: item.Revision, Endpoint: endpoint}
+}
+
+// relist brings changes of the list into force. The lock must be held.
+func (e *Edge) relist(changed []lister.Entry, from string) {
+	if len(changed) == 0 {
+		return
 	}
-	if had && old == fresh {
-		return false
+	for _, c := range changed {
+		e.log.Info().Str("key", c.Key).Str("from", from).Uint64("revision", c.Revision).Bool("gone", c.Gone).
+			Str("address", c.Endpoint.Address).Str("service", c.Endpoint.Service).Bool("prefill", c.Endpoint.Prefill).
+			Bool("leaving", c.Endpoint.Leaving).Msg("list: endpoint")
 	}
-	e.endpoints[key] = fresh
-	e.log.Info().Str("endpoint", fresh.ID).Str("address", fresh.Address).Str("service", fresh.Service).Bool("prefill", fresh.Prefill).
-		Bool("leaving", fresh.Leaving).Uint64("revision", item.Revision).Msg("list: endpoint")
-	return true
+	e.director.List(e.lister.Endpoints())
 }
 
 // Ready tells whether the process takes new callers: a current configuration and endpoints are known.
