Hold the caps through partitions and restarts

Now a silent gateway is charged its share of bucket and rate, admissions between two reports keep to an equal share, a process starts empty, and a quarter of the allowance is used. Ruled out: tighter gossip alone.

--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -76,7 +76,7 @@
 		Name: s.Name, Domain: s.Domain, Self: s.Gossip, Seeds: s.Seeds, DrainGrace: s.Bounds.DrainGrace, Revoke: s.Bounds.Revoke,
 		Limits: capper.Options{
 			Window: s.Bounds.LimitWindow, Overage: s.Bounds.LimitOverage, Slack: s.Bounds.LimitSlack,
-			Silent: time.Second, Forget: time.Minute,
+			Silent: time.Second, Forget: time.Minute, Least: len(s.Seeds),
 		},
 		Repeat: retrier.Options{Ratio: s.Bounds.RepeatRatio, Extra: s.Bounds.RepeatExtra, Window: s.Bounds.RepeatWindow},
 	}
--- /dev/null
+++ b/internal/config/matcher/matcher_test.go
@@ -0,0 +1,79 @@
+package matcher_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/pkg/catalog"
+)
+
+func sample() *matcher.Matcher {
+	return matcher.New(matcher.Content{
+		Version: 3,
+		Routes: []matcher.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/"},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "root", Host: "b.example", Prefix: "/"},
+		},
+		Accounts: []matcher.Account{{Name: "one", Keys: []catalog.Digest{catalog.DigestOf("k1")}}},
+	})
+}
+
+func TestRoute(t *testing.T) {
+	m := sample()
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:80", "/x/y/", "long"},
+		{"a.example", "/x/yy", "short"},
+		{"a.example", "/x", ""},
+		{"a.example", "/", ""},
+		{"a.example", "", ""},
+		{"b.example", "/anything/at/all", "root"},
+		{"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r, ok := m.Route(c.host, c.path); ok {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("Route(%q, %q) is %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestByKey(t *testing.T) {
+	m := sample()
+	if a, ok := m.ByKey("k1"); !ok || a.Name != "one" {
+		t.Error("the key of account one is not known")
+	}
+	if _, ok := m.ByKey("k2"); ok {
+		t.Error("a key that nobody holds was accepted")
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := matcher.Route{Shares: []matcher.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}, {Service: "c"}}}
+	got := map[string]int{}
+	for dice := range uint64(1000) {
+		got[r.Service(dice)]++
+	}
+	if got["a"] != 900 || got["b"] != 100 || got["c"] != 0 {
+		t.Errorf("shares are %v, want a 900, b 100", got)
+	}
+}
+
+func BenchmarkRoute(b *testing.B) {
+	var routes []matcher.Route
+	for i := range 5000 {
+		routes = append(routes, matcher.Route{Host: "a.example", Prefix: fmt.Sprintf("/r%d/", i)})
+	}
+	m := matcher.New(matcher.Content{Version: 1, Routes: routes})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := m.Route("a.example", "/r4711/2f"); !ok {
+			b.Fatal("no route")
+		}
+	}
+}
--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -1,8 +1,9 @@
 // Package capper bounds what each client account runs over all gateways together. Every gateway plays the whole
 // account's token bucket: it charges its own admissions at once and those of the others as they report them, in
-// totals that only rise. A gateway that is not heard from is supposed to use its equal share all the while, so that
-// both sides of a partition together stay within the rate. The allowance above the burst pays for what was admitted
-// elsewhere and has not been reported yet.
+// totals that only rise. A gateway that is not heard from is supposed to use its equal share of the bucket and of the
+// rate, so that the sides of a partition together stay within the limit; and until that shows, each gateway admits no
+// more than its equal share of the bucket beyond what the others have certainly had time to report. The allowance above
+// the burst pays for what is admitted elsewhere in the meantime.
 package capper
 
 import (
@@ -28,29 +29,44 @@
 	Silent time.Duration
 	// Forget is the age after which a silent gateway is taken for gone.
 	Forget time.Duration
+	// Least is the number of gateways that there are at least, heard from or not.
+	Least int
 }
 
 const (
 	// allowance is the part of the overage and slack that admissions may use; the rest covers late reports.
-	allowance = 0.75
-	// startShare is the part of the allowance that a process without any knowledge begins with.
-	startShare = 0.5
+	allowance = 0.25
 	// adoptWithin is how long after its start a process takes over the levels of another.
 	adoptWithin = 4 * time.Second
+	// requestsUnheard is how many requests of the same size are admitted at least between two reports of the others.
+	requestsUnheard = 2
+	// unheardRetry is what a caller is told whose request has to wait for reports.
+	unheardRetry = 100 * time.Millisecond
 )
 
+// admission is what was admitted here at a time.
+type admission struct {
+	at     time.Duration
+	tokens float64
+}
+
 type account struct {
 	plan  Plan
 	level float64
 	last  time.Duration
 	// total counts the own admissions since the process started, less what was returned.
 	total float64
+	// latest holds the own admissions of the last Silent.
+	latest []admission
 }
 
 type peer struct {
 	incarnation uint64
 	heard       time.Duration
 	totals      map[string]float64
+	// silent is set while the peer is supposed to use its share; supposed is what was charged for it, by account.
+	silent   bool
+	supposed map[string]float64
 }
 
 // Capper is not safe for concurrent use.
@@ -70,17 +86,16 @@
 
 // Set replaces the plans.
 func (c *Capper) Set(plans []Plan, now time.Duration) {
+	c.advance(now)
 	keep := make(map[string]bool, len(plans))
 	for _, p := range plans {
 		keep[p.Account] = true
 		a, ok := c.accounts[p.Account]
 		if !ok {
-			a = &account{plan: p, last: now}
-			a.level = c.startLevel(p)
+			// Whoever starts knows nothing of what was admitted before, and begins empty.
+			a = &account{last: now}
 			c.accounts[p.Account] = a
-			continue
 		}
-		c.refill(a, now)
 		a.plan = p
 		a.level = min(a.level, c.burst(p))
 	}
@@ -100,9 +115,10 @@
 	return c.options.Overage*(p.Rate*c.options.Window.Seconds()+p.Burst) + c.options.Slack
 }
 
-func (c *Capper) startLevel(p Plan) float64 {
-	return startShare * allowance * c.allowed(p)
-}
+// gateways is how many gateways share the limits, and unknown how many of them were never heard from.
+func (c *Capper) gateways() int { return max(c.options.Least, len(c.peers)+1) }
+
+func (c *Capper) unknown() int { return c.gateways() - len(c.peers) - 1 }
 
 // Admit charges tokens; ok is false where the account would exceed its limit, and wait tells when it would not.
 func (c *Capper) Admit(name string, tokens float64, now time.Duration) (wait time.Duration, ok bool) {
@@ -110,25 +126,54 @@
 	if !known || a.plan.Rate <= 0 {
 		return 0, true
 	}
-	c.refill(a, now)
+	c.advance(now)
 	if a.level < tokens {
 		missing := min(tokens, c.burst(a.plan)) - a.level
 		return time.Duration(missing / a.plan.Rate * float64(time.Second)), false
 	}
+	unheard := c.unheard(a, now)
+	share := max((a.level+unheard)/float64(c.gateways()), requestsUnheard*tokens)
+	if unheard+tokens > share {
+		return unheardRetry, false
+	}
 	a.level -= tokens
 	a.total += tokens
+	a.latest = append(a.latest, admission{at: now, tokens: tokens})
 	return 0, true
 }
 
+// unheard sums the own admissions since the oldest report of a gateway that is not silent.
+func (c *Capper) unheard(a *account, now time.Duration) float64 {
+	oldest := now
+	for _, p := range c.peers {
+		if !p.silent {
+			oldest = min(oldest, p.heard)
+		}
+	}
+	sum, expired := 0.0, 0
+	for i, l := range a.latest {
+		if now-l.at > c.options.Silent {
+			expired = i + 1
+			continue
+		}
+		if l.at >= oldest {
+			sum += l.tokens
+		}
+	}
+	a.latest = a.latest[expired:]
+	return sum
+}
+
 // Return gives back the charge of a request that did not run.
 func (c *Capper) Return(name string, tokens float64, now time.Duration) {
 	a, known := c.accounts[name]
 	if !known || a.plan.Rate <= 0 {
 		return
 	}
-	c.refill(a, now)
+	c.advance(now)
 	a.level = min(c.burst(a.plan), a.level+tokens)
 	a.total -= tokens
+	a.latest = append(a.latest, admission{at: now, tokens: -tokens})
 }
 
 // Totals returns the own admissions of each account since the start.
@@ -144,9 +189,9 @@
 
 // Levels returns the level of each account, for a gateway that has just started.
 func (c *Capper) Levels(now time.Duration) map[string]float64 {
+	c.advance(now)
 	out := make(map[string]float64, len(c.accounts))
 	for name, a := range c.accounts {
-		c.refill(a, now)
 		out[name] = a.level
 	}
 	return out
@@ -157,9 +202,10 @@
 	if c.adopted || now-c.started > adoptWithin {
 		return
 	}
+	c.advance(now)
 	for name, level := range levels {
 		if a, ok := c.accounts[name]; ok {
-			a.level, a.last = min(level, c.burst(a.plan)), now
+			a.level = min(level, c.burst(a.plan))
 			c.adopted = true
 		}
 	}
@@ -170,52 +216,80 @@
 	return !c.adopted && now-c.started <= adoptWithin
 }
 
-// Hear takes in the totals of another gateway. What it admitted before it was first heard of is in no level here
-// and is charged at once, as a process that lives longer than this one would have.
+// Hear takes in the totals of another gateway. What was supposed of it while it was silent gives way to what it did.
 func (c *Capper) Hear(gateway string, incarnation uint64, totals map[string]float64, now time.Duration) {
-	for _, a := range c.accounts {
-		c.refill(a, now)
-	}
+	c.advance(now)
 	p, ok := c.peers[gateway]
-	fresh := !ok
-	if !ok || p.incarnation != incarnation {
-		p = &peer{incarnation: incarnation, totals: map[string]float64{}}
-		c.peers[gateway] = p
-	}
-	silence := now - p.heard
-	supposed := !fresh && p.heard > 0 && silence > c.options.Silent
-	p.heard = now
-	for name, total := range totals {
-		delta := total - p.totals[name]
-		p.totals[name] = total
-		a, known := c.accounts[name]
-		if !known || fresh {
-			continue
-		}
-		if supposed {
-			// Its equal share was charged while it was silent.
-			delta -= a.plan.Rate * (silence - c.options.Silent).Seconds() / float64(len(c.peers)+1)
-			delta = max(0, delta)
-		}
-		a.level -= delta
+	if !ok {
+		// What it admitted before is in no level here.
+		c.peers[gateway] = &peer{incarnation: incarnation, heard: now, totals: totals, supposed: map[string]float64{}}
+		return
 	}
+	if p.incarnation != incarnation {
+		p.incarnation, p.totals = incarnation, map[string]float64{}
+		c.charge(p)
+	}
+	for name, a := range c.accounts {
+		delta := totals[name] - p.totals[name]
+		a.level = min(c.burst(a.plan), a.level-delta+p.supposed[name])
+	}
+	p.totals, p.heard, p.silent = totals, now, false
+	clear(p.supposed)
 }
 
-// refill adds what the rate gives, less the equal shares of the gateways that are not heard from.
-func (c *Capper) refill(a *account, now time.Duration) {
-	if now <= a.last {
-		return
+// charge supposes that a process that has ended admitted its share after its last report, which will never be told.
+func (c *Capper) charge(p *peer) {
+	if !p.silent {
+		for _, a := range c.accounts {
+			a.level -= max(0, a.level) / float64(c.gateways())
+		}
 	}
-	silent := 0
+	clear(p.supposed)
+}
+
+// advance brings all levels to a time, and charges the shares of gateways that are not heard from.
+func (c *Capper) advance(now time.Duration) {
+	silent := c.unknown()
 	for name, p := range c.peers {
 		switch age := now - p.heard; {
 		case age > c.options.Forget:
 			delete(c.peers, name)
 		case age > c.options.Silent:
 			silent++
+			c.suppose(p)
 		}
 	}
-	share := 1 - float64(silent)/float64(len(c.peers)+1)
-	a.level = min(c.burst(a.plan), a.level+a.plan.Rate*share*(now-a.last).Seconds())
+	for _, a := range c.accounts {
+		c.refill(a, silent, now)
+	}
+}
+
+// suppose charges a gateway that has just fallen silent its equal share of each bucket, and of the rate since it was
+// heard from last.
+func (c *Capper) suppose(p *peer) {
+	if p.silent {
+		return
+	}
+	p.silent = true
+	for name, a := range c.accounts {
+		share := (c.burst(a.plan) + a.plan.Rate*c.options.Silent.Seconds()) / float64(c.gateways())
+		a.level -= share
+		p.supposed[name] = share
+	}
+}
+
+// refill adds what the rate gives, less the equal shares of the silent gateways.
+func (c *Capper) refill(a *account, silent int, now time.Duration) {
+	if now <= a.last {
+		return
+	}
+	fresh := a.plan.Rate * (now - a.last).Seconds()
 	a.last = now
+	each := fresh / float64(c.gateways())
+	for _, p := range c.peers {
+		if p.silent {
+			p.supposed[a.plan.Account] += each
+		}
+	}
+	a.level = min(c.burst(a.plan), a.level+fresh-each*float64(silent))
 }
--- /dev/null
+++ b/internal/limits/capper/capper_test.go
@@ -0,0 +1,180 @@
+package capper_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
+)
+
+const (
+	rate   = 100000.0
+	burst  = 100000.0
+	window = 8 * time.Second
+)
+
+// seeds is how many gateways a process knows of at least when it starts, itself included.
+const seeds = 4
+
+var options = capper.Options{Window: window, Overage: 0.25, Slack: 120000, Silent: time.Second, Forget: time.Minute}
+
+// bound is what an account may run in any window, over all gateways.
+func bound() float64 {
+	return (rate*window.Seconds()+burst)*(1+options.Overage) + options.Slack
+}
+
+// fleet is a number of gateways that gossip, in virtual time.
+type fleet struct {
+	cappers      []*capper.Capper
+	incarnations []uint64
+	names        []string
+	// side tells on which side of a partition each gateway is.
+	side []int
+	now  time.Duration
+	runs []run
+}
+
+type run struct {
+	at     time.Duration
+	tokens float64
+}
+
+// faultEvery is the number of steps of 100 ms between two cuts or heals, and between two kills, on the mean.
+const faultEvery = 60
+
+func newFleet(n int) *fleet {
+	f := &fleet{side: make([]int, n)}
+	for i := range n {
+		f.cappers = append(f.cappers, nil)
+		f.incarnations = append(f.incarnations, 0)
+		f.names = append(f.names, string(rune('a'+i)))
+		f.start(i)
+	}
+	return f
+}
+
+// start starts a gateway anew, with empty memory.
+func (f *fleet) start(i int) {
+	o := options
+	o.Least = min(seeds, len(f.side))
+	f.cappers[i] = capper.New(o, f.now)
+	f.cappers[i].Set([]capper.Plan{{Account: "acc", Rate: rate, Burst: burst}}, f.now)
+	f.incarnations[i]++
+}
+
+func (f *fleet) gossip() {
+	for i, from := range f.cappers {
+		totals, levels := from.Totals(), from.Levels(f.now)
+		for j, to := range f.cappers {
+			if i == j || f.side[i] != f.side[j] {
+				continue
+			}
+			to.Hear(f.names[i], f.incarnations[i], totals, f.now)
+			if !from.Young(f.now) {
+				to.Adopt(levels, f.now)
+			}
+		}
+	}
+}
+
+func (f *fleet) admit(i int, tokens float64) bool {
+	_, ok := f.cappers[i].Admit("acc", tokens, f.now)
+	if ok {
+		f.runs = append(f.runs, run{f.now, tokens})
+	}
+	return ok
+}
+
+// worst returns the most tokens that ran in any window.
+func (f *fleet) worst() float64 {
+	worst, sum, first := 0.0, 0.0, 0
+	for _, r := range f.runs {
+		sum += r.tokens
+		for f.runs[first].at <= r.at-window {
+			sum -= f.runs[first].tokens
+			first++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+// The load: one account sends six times its rate through all gateways, while gateways are cut off, die and return.
+func TestNoWindowExceedsTheBound(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, seeds).Draw(t, "gateways")
+		f := newFleet(n)
+		f.now = 20 * time.Second
+		for range rapid.IntRange(100, 250).Draw(t, "steps") {
+			switch rapid.IntRange(0, faultEvery).Draw(t, "event") {
+			case 0:
+				i := rapid.IntRange(0, n-1).Draw(t, "cut")
+				f.side[i] = 1 - f.side[i]
+			case 1:
+				f.start(rapid.IntRange(0, n-1).Draw(t, "killed"))
+			}
+			for range rapid.IntRange(0, 6).Draw(t, "requests") {
+				f.admit(rapid.IntRange(0, n-1).Draw(t, "gateway"), 14000)
+			}
+			f.now += 100 * time.Millisecond
+			f.gossip()
+		}
+		if w := f.worst(); w > bound() {
+			t.Fatalf("%.0f tokens ran in one window, allowed are %.0f", w, bound())
+		}
+	})
+}
+
+// An account within its rate is not refused wherever its requests arrive: here nine in ten on one gateway.
+func TestUnevenEntryIsNotRefused(t *testing.T) {
+	f := newFleet(4)
+	f.now = 5 * time.Second
+	refused := 0
+	for i := range 400 {
+		gateway := 0
+		if i%10 == 0 {
+			gateway = 1 + i/10%3
+		}
+		if !f.admit(gateway, 8000) {
+			refused++
+		}
+		f.now += 100 * time.Millisecond
+		f.gossip()
+	}
+	if refused > 0 {
+		t.Errorf("%d of 400 requests were refused though the account kept to 0.8 of its rate", refused)
+	}
+}
+
+func TestReturnedTokensMayBeUsedAgain(t *testing.T) {
+	f := newFleet(1)
+	f.now = 10 * time.Second
+	for f.admit(0, 10000) {
+	}
+	f.cappers[0].Return("acc", 10000, f.now)
+	if !f.admit(0, 10000) {
+		t.Error("the tokens of a request that did not run were lost")
+	}
+}
+
+func TestRefusalTellsWhenThereIsRoom(t *testing.T) {
+	f := newFleet(1)
+	for f.admit(0, 10000) {
+	}
+	wait, ok := f.cappers[0].Admit("acc", 10000, f.now)
+	if ok || wait <= 0 {
+		t.Fatalf("got wait %v, admitted %v", wait, ok)
+	}
+	f.now += wait + time.Millisecond
+	if !f.admit(0, 10000) {
+		t.Errorf("refused again after the wait of %v", wait)
+	}
+}
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -67,7 +67,7 @@
 	// Watches of the configuration wait for configWait a gateway, between the bounds: the others tell meanwhile how
 	// current theirs is, so that the store's calls do not grow with the fleet.
 	configWait      = 300 * time.Millisecond
-	configWaitLeast = 900 * time.Millisecond
+	configWaitLeast = 1800 * time.Millisecond
 	configWaitMost  = 6 * time.Second
 	// readers is how many gateways read the endpoint list every endpointPause; the others do every listenerPause, and
 	// hear of changes from the readers.
--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -183,7 +183,7 @@
 		go c.loopWrite(buffers, written)
 	}
 	for range strayMost + 1 {
-		response, err := http.ReadResponse(c.reader, r.Head)
+		response, err := http.ReadResponse(c.reader, r.Head) //nolint:bodyclose // closing the Answer ends the exchange
 		if err != nil {
 			return nil, &Failure{Stage: Sent, Cause: errors.Wrap(err, "read answer")}
 		}
@@ -305,7 +305,7 @@
 
 func (c *conn) close() {
 	// An error here would say only that the connection is closed already.
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // loopWrite writes a large request while its answer is read: an endpoint may answer before it has read the whole.
--- a/internal/proxy/forwarder/relay.go
+++ b/internal/proxy/forwarder/relay.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"sync"
+
+	"github.com/pkg/errors"
 )
 
 // relayBuffer is the size of the buffer of a stream, in bytes; longer events are passed on in pieces.
@@ -56,7 +58,7 @@
 			}
 			r.held = copy(r.buffer[:], r.buffer[whole:r.held])
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil, nil
 		}
 		if err != nil {
@@ -68,7 +70,7 @@
 
 // whole returns how many of the held bytes may be passed on.
 func (r *relay) whole(err error) int {
-	if err == io.EOF || r.held == len(r.buffer) {
+	if errors.Is(err, io.EOF) || r.held == len(r.buffer) {
 		return r.held
 	}
 	end := bytes.LastIndex(r.buffer[:r.held], eventEnd)
--- /dev/null
+++ b/internal/routing/balancer/balancer_test.go
@@ -0,0 +1,68 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
+)
+
+func fresh() *balancer.Balancer {
+	b := balancer.New("a")
+	b.Set([]balancer.Endpoint{
+		{ID: "near", Service: "s", Domain: "a", Slots: 4},
+		{ID: "far", Service: "s", Domain: "b", Slots: 4},
+		{ID: "other", Service: "t", Domain: "a", Slots: 4},
+	})
+	return b
+}
+
+func TestNearEndpointFirstWhileItIsNotBusier(t *testing.T) {
+	b := fresh()
+	got := map[string]int{}
+	for range 6 {
+		got[b.Take("s", nil, false, 0).ID]++
+	}
+	if got["near"] < got["far"] || got["far"] == 0 {
+		t.Errorf("got %v, want more on the near endpoint and some on the far one", got)
+	}
+}
+
+func TestFailingEndpointIsAvoidedAndForgiven(t *testing.T) {
+	b := fresh()
+	for range 20 {
+		b.Judge("near", false, 0)
+	}
+	if e := b.Take("s", nil, false, 0); e.ID != "far" {
+		t.Fatal("an endpoint whose answers all fail was chosen")
+	}
+	b.End("far")
+	if e := b.Take("s", nil, false, 20*time.Second); e.ID != "near" {
+		t.Error("an endpoint was not forgiven after 20 s")
+	}
+}
+
+// All endpoints out of reach: the least bad is still tried, for health may have returned.
+func TestSomebodyIsAlwaysTried(t *testing.T) {
+	b := fresh()
+	b.Lost("near", 0)
+	b.Lost("far", 0)
+	if b.Take("s", nil, false, 0) == nil {
+		t.Error("nobody was chosen although endpoints are listed")
+	}
+}
+
+func TestFailedEndpointsOfARequestAreNotTriedAgain(t *testing.T) {
+	b := fresh()
+	if e := b.Take("s", map[string]bool{"near": true, "far": true}, false, 0); e != nil {
+		t.Errorf("got %s although both failed the request", e.ID)
+	}
+}
+
+func TestReportedLoadOfOthersCounts(t *testing.T) {
+	b := fresh()
+	b.Report("near", 12, 0)
+	if e := b.Take("s", nil, false, 0); e.ID != "far" {
+		t.Error("an endpoint that reports twelve requests was chosen over an idle one")
+	}
+}
--- /dev/null
+++ b/internal/routing/planner/planner_test.go
@@ -0,0 +1,231 @@
+package planner_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+)
+
+var options = planner.Options{
+	Domain: "a", PrefillRate: 55000, Lead: 60 * time.Millisecond, Backlog: 450 * time.Millisecond, Wait: 2500 * time.Millisecond,
+	DecodeRate: 1700, MemoryShare: 0.95, Stale: 1500 * time.Millisecond,
+}
+
+func endpoints(prefill, decode, memory int) []planner.Endpoint {
+	var out []planner.Endpoint
+	for i := range prefill + decode {
+		e := planner.Endpoint{
+			ID: fmt.Sprintf("e%02d", i), Service: "s", Domain: string(rune('a' + i%3)), Stage: planner.Decode, Slots: 12, Memory: memory,
+		}
+		if i < prefill {
+			e.Stage = planner.Prefill
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func ask(id uint64, now time.Duration) planner.Request {
+	return planner.Request{
+		ID: id, Account: "acc", Service: "s", Prompt: 5000, Output: 5000, Target: now + 900*time.Millisecond, Latest: now + 3600*time.Millisecond,
+	}
+}
+
+func TestStartsAtOnceWhereThereIsRoom(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(1, 2, 100000))
+	v := p.Submit(ask(1, 0), 0)
+	if len(v) != 1 || v[0].Plan == nil || v[0].Plan.Prefill == nil {
+		t.Fatalf("got %+v, want a plan with both endpoints", v)
+	}
+}
+
+func TestDecodeEndpointReadsWhereNoPrefillEndpointIsLeft(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(0, 1, 100000))
+	v := p.Submit(ask(1, 0), 0)
+	if len(v) != 1 || v[0].Plan == nil || v[0].Plan.Prefill != nil {
+		t.Fatalf("got %+v, want a plan without a prefill endpoint", v)
+	}
+}
+
+// Memory binds before slots: runs that begin together will fill it together, however little they use now.
+func TestRoomIsKeptForWhatRunsWillFill(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(3, 1, 74000))
+	started := 0
+	for id := uint64(1); id <= 12; id++ {
+		for _, v := range p.Submit(ask(id, 0), 0) {
+			if v.Plan != nil {
+				started++
+			}
+		}
+	}
+	if started != 7 {
+		t.Errorf("%d runs were started, want 7: each will fill 10,000 of 70,300 tokens", started)
+	}
+}
+
+func TestRunsOfOtherGatewaysTakeRoom(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(1, 1, 100000))
+	runs := make([]planner.Run, 12)
+	p.Peer("other", map[string]planner.Load{"e01": {Runs: runs}}, 0)
+	if v := p.Submit(ask(1, 0), 0); len(v) != 0 {
+		t.Fatalf("got %+v although another gateway fills all slots", v)
+	}
+	p.Peer("other", map[string]planner.Load{}, time.Millisecond)
+	if v := p.Tick(time.Millisecond); len(v) != 1 || v[0].Plan == nil {
+		t.Fatalf("got %+v after the other gateway's runs ended, want a start", v)
+	}
+}
+
+func TestRunsOfGatewaysOutOfReachTakeRoom(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(1, 1, 200000))
+	p.Held("e01", 12, 0)
+	if v := p.Submit(ask(1, 0), 0); len(v) != 0 {
+		t.Fatalf("got %+v although the endpoint says that it is full", v)
+	}
+}
+
+func TestNeitherFailedNorFullEndpointsGetWork(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(0, 2, 100000))
+	p.Failed("e00", 0)
+	p.Full("e01", 0)
+	if v := p.Submit(ask(1, 0), 0); len(v) != 0 {
+		t.Fatalf("got %+v, want the request to wait", v)
+	}
+	if v := p.Tick(200 * time.Millisecond); len(v) != 1 || v[0].Plan == nil || v[0].Plan.Decode.ID != "e01" {
+		t.Fatalf("got %+v, want a start on the endpoint that was only full", v)
+	}
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	p := planner.New(options)
+	p.Set(nil)
+	for id := uint64(1); id <= 3; id++ {
+		p.Submit(ask(id, 0), 0)
+	}
+	v := p.Submit(ask(4, 0), 0)
+	if len(v) != 1 || !v[0].Refused || v[0].RetryAfter <= 0 {
+		t.Fatalf("got %+v, want a refusal that tells when to return", v)
+	}
+}
+
+func TestRequeuedRequestKeepsItsPlace(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(0, 1, 11000))
+	if v := p.Submit(ask(1, 0), 0); len(v) != 1 {
+		t.Fatal("the first request did not start")
+	}
+	p.Submit(ask(2, 0), 0)
+	p.Full("e00", 0)
+	if v := p.Requeue(1, 0); len(v) != 0 {
+		t.Fatalf("got %+v from a full endpoint", v)
+	}
+	if v := p.Tick(200 * time.Millisecond); len(v) != 1 || v[0].Request != 1 {
+		t.Fatalf("got %+v, want request 1 first", v)
+	}
+}
+
+// end is the end of a run, in virtual time.
+type end struct {
+	at      time.Duration
+	request uint64
+}
+
+type ends []end
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push is called by container/heap only.
+func (e *ends) Push(x any) { *e = append(*e, x.(end)) } //nolint:forcetypeassert // only ends are pushed
+
+// Pop is called by container/heap only.
+func (e *ends) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// The load: a day's drafts on nine endpoints with a burst of 2.2 times the usual for five seconds. Callers leave
+// after 3.6 s without an event. All that was accepted is served, nearly all on time outside the burst, and refusals
+// come at once.
+func TestBurstIsServedOrRefusedAtOnce(t *testing.T) {
+	p := planner.New(options)
+	p.Set(endpoints(2, 7, 107000))
+	rng := rand.New(rand.NewPCG(1, 2))
+	var running ends
+	sent, onTime, refused, late := 0, 0, 0, 0
+	since := map[uint64]time.Duration{}
+	take := func(verdicts []planner.Verdict, now time.Duration) {
+		for _, v := range verdicts {
+			waited := now - since[v.Request]
+			if v.Refused {
+				refused++
+				if waited > options.Wait {
+					t.Errorf("request %d was refused after %v", v.Request, waited)
+				}
+				continue
+			}
+			if waited < 750*time.Millisecond {
+				onTime++
+			} else {
+				late++
+			}
+			heap.Push(&running, end{now + 100*time.Millisecond + time.Duration(rng.NormFloat64()*800+2900)*time.Millisecond, v.Request})
+		}
+	}
+	next := time.Duration(0)
+	for now := time.Duration(0); now < 34*time.Second; now += 5 * time.Millisecond {
+		for len(running) > 0 && running[0].at <= now {
+			e, _ := heap.Pop(&running).(end)
+			p.Read(e.request)
+			take(p.End(e.request, now), now)
+		}
+		perSecond := 10.3
+		if now > 6*time.Second && now < 11*time.Second {
+			perSecond *= 2.2
+		}
+		for next <= now {
+			sent++
+			since[uint64(sent)] = now
+			take(p.Submit(ask(uint64(sent), now), now), now)
+			next += time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
+		}
+		if now%(20*time.Millisecond) == 0 {
+			take(p.Tick(now), now)
+		}
+	}
+	t.Logf("sent %d, on time %d, late %d, refused %d", sent, onTime, late, refused)
+	if float64(onTime) < 0.9*float64(sent) {
+		t.Errorf("%d of %d requests were on time, want 0.9", onTime, sent)
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	p := planner.New(options)
+	p.Set(endpoints(6, 22, 107000))
+	for g := range 29 {
+		loads := map[string]planner.Load{}
+		for i := range 6 {
+			loads[fmt.Sprintf("e%02d", 6+(g*6+i)%22)] = planner.Load{Runs: []planner.Run{{Prompt: 5000, Output: 5000, Age: time.Second}}}
+		}
+		p.Peer(fmt.Sprintf("g%d", g), loads, 0)
+	}
+	b.ReportAllocs()
+	id := uint64(0)
+	for b.Loop() {
+		id++
+		p.Submit(ask(id, 0), 0)
+		p.End(id, 0)
+	}
+}
