--- /dev/null
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -0,0 +1,462 @@
+package cmds
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pistachiovane/pistachiovane/internal/process/edge"
+	"github.com/pistachiovane/pistachiovane/platform"
+	"github.com/pistachiovane/pistachiovane/platform/standin"
+)
+
+// world is a store, endpoints and one gateway on loopback.
+type world struct {
+	t       *testing.T
+	store   *standin.Store
+	edge    *edge.Edge
+	front   *httptest.Server
+	log     *lockedBuffer
+	model   map[string]*standin.Endpoint
+	plain   []*standin.Endpoint
+	stop    context.CancelFunc
+	stopped chan struct{}
+	next    int
+}
+
+// worldConfig is the operator's configuration: a version, and the keys of the account.
+const worldConfig = `{"version":%d,"routes":[
+ {"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":4000,"target_latency_ms":900,"service":"llm","max_attempts":3,"allow_resume":true},
+ {"name":"note","host":"h","prefix":"/note/","kind":"streaming","timeout_ms":4000,"target_latency_ms":900,"service":"llm","max_attempts":1},
+ {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":1},
+ {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":2},
+ {"name":"open","host":"h","prefix":"/open/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":2,"skip_auth":true}],
+ "services":[{"name":"llm","engine_kind":{"slot_count":4,"kv_capacity":100000,"kv_hold_s":0.5}},{"name":"desk"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"acc","api_keys":[%s],"plain_tokens":200,"rate_per_s":10000000,"burst":10000000}]}`
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{t: t, store: standin.NewStore(), log: &lockedBuffer{}, model: map[string]*standin.Endpoint{}, stopped: make(chan struct{})}
+	w.configure(3, `"key"`)
+	w.addModel("p1", "prefill")
+	w.addModel("d1", "decode")
+	w.addModel("d2", "decode")
+	for _, id := range []string{"s1", "s2"} {
+		e := w.endpoint(id, "desk", "")
+		w.plain = append(w.plain, e)
+	}
+	gossip, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := gossip.LocalAddr().(*net.UDPAddr).AddrPort() //nolint:forcetypeassert // a UDP socket has a UDP address
+	s := platform.Settings{
+		Name: "g", Domain: "a", Gossip: self, Seeds: []netip.AddrPort{self}, Store: w.store.Address(),
+		Bounds: platform.Bounds{
+			DrainGrace: 8 * time.Second, Revoke: 5 * time.Second, RepeatRatio: 0.2, RepeatExtra: 500, RepeatWindow: 10 * time.Second,
+			LimitOverage: 0.25, LimitSlack: 1e6, LimitWindow: 8 * time.Second,
+		},
+	}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.log}}
+	w.edge = edge.New(edgeOptions(s), edgeSources(s), gossip, logger)
+	w.front = httptest.NewServer(platform.NewIngress(edge.Serving{Edge: w.edge}))
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	go func() {
+		defer close(w.stopped)
+		_ = w.edge.Serve(ctx)
+	}()
+	t.Cleanup(w.close)
+	w.eventually(w.edge.Ready, "the gateway is ready")
+	// The account's bucket begins empty.
+	time.Sleep(50 * time.Millisecond)
+	return w
+}
+
+func (w *world) close() {
+	w.stop()
+	<-w.stopped
+	w.front.CloseClientConnections()
+	w.front.Close()
+	w.store.Close()
+}
+
+func (w *world) configure(version int, keys string) {
+	w.store.Put("op/config", fmt.Appendf(nil, worldConfig, version, keys))
+}
+
+func (w *world) endpoint(id, service, stage string) *standin.Endpoint {
+	e, err := standin.NewEndpoint(id, service, "a", stage)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(e.Close)
+	w.store.Put(e.Entry("ready"))
+	return e
+}
+
+func (w *world) addModel(id, stage string) {
+	w.model[id] = w.endpoint(id, "llm", stage)
+}
+
+func (w *world) eventually(ok func() bool, what string) {
+	w.t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.t.Fatalf("after 5 s it does not hold that %s\n%s", what, w.log.String())
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (w *world) request(method, path, body string, header ...string) *http.Request {
+	w.t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, w.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.next++
+	r.Host = "h"
+	r.Header.Set("X-Pistachiovane-Attempt-Id", fmt.Sprintf("id%d", w.next))
+	r.Header.Set("X-Pistachiovane-Credential", "key")
+	r.Header.Set("X-Pistachiovane-Time-Budget-Ms", "3000")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func (w *world) send(r *http.Request) answer {
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	b, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(b), err: err}
+}
+
+func (w *world) get(method, path string, header ...string) answer {
+	w.t.Helper()
+	return w.send(w.request(method, path, "body", header...))
+}
+
+func (w *world) draft(path string) answer {
+	w.t.Helper()
+	return w.get(http.MethodPost, path, "X-Pistachiovane-Token-Counts", "100,100", "X-Pistachiovane-Model", "m")
+}
+
+func (w *world) plainRuns() int {
+	return len(w.plain[0].Runs()) + len(w.plain[1].Runs())
+}
+
+// faults has both plain endpoints handle their next requests so.
+func (w *world) faults(f ...standin.Fault) {
+	for _, e := range w.plain {
+		e.Do(f...)
+	}
+}
+
+const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+
+func TestEdgeServesAStream(t *testing.T) {
+	w := newWorld(t)
+	a := w.draft("/draft/1?q")
+	if a.status != 200 || a.body != wholeStream || a.header.Get("X-Pistachiovane-Server-Seal") == "" {
+		t.Fatalf("got %+v\n%s", a, w.log.String())
+	}
+	runs := append(w.model["d1"].Runs(), w.model["d2"].Runs()...)
+	if len(w.model["p1"].Runs()) != 1 || len(runs) != 1 {
+		t.Fatalf("the prompt was read %d times and decoded %d times", len(w.model["p1"].Runs()), len(runs))
+	}
+	h := runs[0].Header
+	if h.Get("X-Pistachiovane-Credential") != "" || runs[0].Account != "acc" || h.Get("X-Pistachiovane-Kv-Hold") != "h1" || runs[0].Body != "body" {
+		t.Errorf("the endpoint got %v with body %q", h, runs[0].Body)
+	}
+	if !strings.HasSuffix(h.Get("X-Pistachiovane-Kv-Source"), "/k1") {
+		t.Errorf("the KV cache was taken from %q", h.Get("X-Pistachiovane-Kv-Source"))
+	}
+}
+
+func TestEdgeGoesOnWithABrokenStreamThatMayBeResumed(t *testing.T) {
+	w := newWorld(t)
+	w.model["d1"].Do(standin.Cut)
+	w.model["d2"].Do(standin.Cut)
+	if a := w.draft("/draft/1"); a.err != nil || a.body != wholeStream {
+		t.Fatalf("got %+v\n%s", a, w.log.String())
+	}
+}
+
+func TestEdgeBreaksOffABrokenStreamThatMayNotBeResumed(t *testing.T) {
+	w := newWorld(t)
+	w.model["d1"].Do(standin.Cut)
+	w.model["d2"].Do(standin.Cut)
+	a := w.draft("/note/1")
+	if a.err == nil {
+		t.Fatalf("a broken stream looks complete: %+v", a)
+	}
+	if a.body != "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n" {
+		t.Errorf("got %q, want the two whole events", a.body)
+	}
+	if n := len(w.model["d1"].Runs()) + len(w.model["d2"].Runs()); n != 1 {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// What endpoints do wrong, what the caller of a read gets then, and what the caller of a booking gets, which may run
+// only once.
+func TestEdgeAnswersBadEndpoints(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		fault      standin.Fault
+		read, book int
+		bookRuns   int
+	}{
+		{"full", standin.Full, 503, 503, 0},
+		{"reset", standin.Reset, 502, 502, 1},
+		{"cut", standin.Cut, 502, 502, 1},
+		{"unsealed", standin.Unsealed, 502, 502, 1},
+		{"encoded", standin.Encoded, 502, 502, 1},
+		{"failing", standin.Failing, 500, 500, 1},
+		{"stray", standin.Stray, 200, 200, 1},
+		{"extra", standin.Extra, 200, 200, 1},
+		{"unframed", standin.Unframed, 200, 200, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t)
+			w.faults(c.fault, c.fault)
+			if a := w.get(http.MethodGet, "/read/1"); a.status != c.read {
+				t.Errorf("the read got %+v, want %d", a, c.read)
+			}
+			w = newWorld(t)
+			w.faults(c.fault, c.fault)
+			a := w.get(http.MethodPost, "/book/1")
+			if a.status != c.book || w.plainRuns() != c.bookRuns {
+				t.Errorf("the booking got %+v and ran %d times, want %d and %d", a, w.plainRuns(), c.book, c.bookRuns)
+			}
+			if a.status == 503 && a.header.Get("Retry-After") == "" {
+				t.Error("the refusal does not say when to return")
+			}
+		})
+	}
+}
+
+func TestEdgeRepeatsReadsOnly(t *testing.T) {
+	w := newWorld(t)
+	w.faults(standin.Reset)
+	if a := w.get(http.MethodGet, "/read/1"); a.status != 502 {
+		t.Errorf("a read that failed at both endpoints got %d", a.status)
+	}
+	if a := w.get(http.MethodGet, "/read/1"); a.status != 200 {
+		t.Errorf("a read got %d", a.status)
+	}
+}
+
+func TestEdgeRefusesWhatIsNotAllowed(t *testing.T) {
+	w := newWorld(t)
+	for _, c := range []struct {
+		path, key string
+		want      int
+	}{
+		{"/none/1", "key", 404},
+		{"/read/1", "wrong", 401},
+		{"/read/1", "", 401},
+		{"/open/1", "", 200},
+	} {
+		if a := w.get(http.MethodGet, c.path, "X-Pistachiovane-Credential", c.key); a.status != c.want {
+			t.Errorf("%s with key %q got %d, want %d", c.path, c.key, a.status, c.want)
+		}
+	}
+	if a := w.get(http.MethodGet, "/read/1", "X-Big", strings.Repeat("x", 20000)); a.status != 431 {
+		t.Errorf("an oversized header got %d", a.status)
+	}
+	if a := w.send(w.request(http.MethodPost, "/book/1", strings.Repeat("x", 100001))); a.status != 413 {
+		t.Errorf("an oversized body got %d", a.status)
+	}
+	if n := w.plainRuns(); n != 1 {
+		t.Errorf("%d requests ran, want only that on the open route", n)
+	}
+}
+
+func TestEdgeStopsWithdrawnKeysAlsoWhileTheStoreIsDown(t *testing.T) {
+	w := newWorld(t)
+	w.configure(4, `"new"`)
+	w.eventually(func() bool { return w.get(http.MethodGet, "/read/1").status == 401 }, "the withdrawn key is refused")
+	w.store.SetDown(true)
+	a := w.get(http.MethodGet, "/read/1", "X-Pistachiovane-Credential", "new")
+	if a.status != 200 {
+		t.Errorf("right after the store went down a good key got %d", a.status)
+	}
+	w.eventually(func() bool {
+		return w.get(http.MethodGet, "/read/1", "X-Pistachiovane-Credential", "new").status == 503
+	}, "keys that may have been withdrawn are refused")
+	if w.edge.Ready() {
+		t.Error("the gateway asks for callers whose keys it can't check")
+	}
+	w.store.SetDown(false)
+	w.eventually(func() bool {
+		return w.get(http.MethodGet, "/read/1", "X-Pistachiovane-Credential", "new").status == 200
+	}, "the good key works again")
+}
+
+func TestEdgeKeepsTheNewestConfiguration(t *testing.T) {
+	w := newWorld(t)
+	w.configure(9, `"key"`)
+	w.eventually(func() bool { return strings.Contains(w.log.String(), `"version":9`) }, "version 9 is in force")
+	w.configure(8, `"old"`)
+	w.store.Compact()
+	time.Sleep(300 * time.Millisecond)
+	if a := w.get(http.MethodGet, "/read/1"); a.status != 200 {
+		t.Errorf("after an older version a good key got %d", a.status)
+	}
+}
+
+func TestEdgeLeavesLeavingEndpointsAlone(t *testing.T) {
+	w := newWorld(t)
+	w.store.Put(w.plain[0].Entry("draining"))
+	w.store.Put("servers/bad", []byte("not an entry"))
+	w.eventually(func() bool { return strings.Contains(w.log.String(), `"leaving":true`) }, "the leaving endpoint is known")
+	before := len(w.plain[0].Runs())
+	for range 5 {
+		w.get(http.MethodGet, "/read/1")
+	}
+	if n := len(w.plain[0].Runs()); n != before {
+		t.Errorf("a leaving endpoint got %d requests", n-before)
+	}
+}
+
+func TestEdgeNeverRunsASmuggledRequest(t *testing.T) {
+	w := newWorld(t)
+	for _, raw := range []string{
+		"POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Pistachiovane-Attempt-Id: outer\r\nX-Pistachiovane-Credential: key\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"0\r\n\r\nPOST /book/2 HTTP/1.1\r\nHost: h\r\nX-Pistachiovane-Attempt-Id: inner\r\n\r\n",
+		"POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+		"POST /book/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\nbody",
+		"GET /read/1 HTTP/1.1\r\nHost : h\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, raw); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.SetReadDeadline(time.Now().Add(300 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = bufio.NewReader(c).ReadString(0)
+		_ = c.Close()
+	}
+	for _, e := range w.plain {
+		for _, r := range e.Runs() {
+			if r.ID == "inner" && r.Account != "acc" {
+				t.Errorf("a request ran without an account: %+v", r)
+			}
+			if strings.Contains(r.Body, "POST") {
+				t.Errorf("a request was smuggled in the body %q", r.Body)
+			}
+		}
+	}
+}
+
+// A caller who goes ends the work for him.
+func TestEdgeEndsTheWorkOfCallersWhoGo(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"d1", "d2"} {
+		w.model[id].Events, w.model[id].Pause = 1000, 5*time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	r := w.request(http.MethodPost, "/note/1", "body", "X-Pistachiovane-Token-Counts", "100,100").WithContext(ctx)
+	w.send(r)
+	w.eventually(func() bool {
+		for _, id := range []string{"d1", "d2"} {
+			for _, run := range w.model[id].Runs() {
+				if run.Gone {
+					return true
+				}
+			}
+		}
+		return false
+	}, "the endpoint noticed that its caller has gone")
+}
+
+func TestEdgeFinishesItsWorkBeforeItStops(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"d1", "d2"} {
+		w.model[id].Events, w.model[id].Pause = 20, 50*time.Millisecond
+	}
+	got := make(chan answer, 1)
+	go func() { got <- w.draft("/note/1") }()
+	w.eventually(func() bool { return len(w.model["d1"].Runs())+len(w.model["d2"].Runs()) > 0 }, "the stream runs")
+	w.edge.Drain(context.Background())
+	if a := <-got; a.err != nil || strings.Count(a.body, "data:") != 20 {
+		t.Errorf("the stream was cut: %+v", a)
+	}
+	if w.edge.Ready() {
+		t.Error("a stopping gateway asks for callers")
+	}
+}
+
+// A line says of each request what decided it.
+func TestEdgeLogsOneLineARequest(t *testing.T) {
+	w := newWorld(t)
+	w.get(http.MethodGet, "/read/1", "X-Pistachiovane-Attempt-Id", "abc")
+	w.eventually(func() bool { return strings.Contains(w.log.String(), `"id":"abc"`) }, "the request is logged")
+	if n := strings.Count(w.log.String(), `"id":"abc"`); n != 1 {
+		t.Errorf("%d lines name the request, want 1", n)
+	}
+	for _, field := range []string{"route", "account", "endpoint", "version", "age_ms", "status", "calls", "total_ms"} {
+		if !strings.Contains(w.log.String(), `"`+field+`":`) {
+			t.Errorf("the line has no field %s", field)
+		}
+	}
+}
+
+// lockedBuffer is a log that tests read while it is written.
+type lockedBuffer struct {
+	lock   chan struct{}
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) with(do func()) {
+	bufferLock <- struct{}{}
+	do()
+	<-bufferLock
+}
+
+var bufferLock = make(chan struct{}, 1)
+
+// Write appends a line.
+func (b *lockedBuffer) Write(p []byte) (n int, err error) {
+	b.with(func() { n, err = b.buffer.Write(p) })
+	return n, err
+}
+
+// String returns all lines.
+func (b *lockedBuffer) String() (s string) {
+	b.with(func() { s = b.buffer.String() })
+	return s
+}
--- /dev/null
+++ b/internal/fleet/gossiper/message_test.go
@@ -0,0 +1,37 @@
+package gossiper
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestMessageSurvivesTheWay(t *testing.T) {
+	m := Message{
+		From: "10.0.0.1:7500", Incarnation: 7, Sequence: 9, Version: 12, Age: 300,
+		Loads:  []Load{{Endpoint: "e1", Runs: [][3]int{{5000, 4000, 120}}, Backlog: 10}},
+		Totals: map[string]float64{"acc": 1000}, Known: []string{"10.0.0.2:7500"},
+	}
+	b, err := m.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decode(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(m, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"state","params":{"from":"10.0.0.1:1","inc":1}}`))
+	f.Add([]byte(`{"method":"state"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decode(b)
+		if err == nil && (m.From == "" || m.Incarnation == 0) {
+			t.Errorf("a message without a sender was accepted: %q", b)
+		}
+	})
+}
