--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -18,7 +19,10 @@
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/process/edge"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/forwarder"
 	"github.com/pistachiovane/pistachiovane/platform"
+	"github.com/pistachiovane/pistachiovane/service/meter"
+	"github.com/pistachiovane/pistachiovane/service/operator"
 )
 
 const (
@@ -44,6 +48,7 @@
 
 type edgeCommand struct {
 	Settings string `arg:"--settings,env:PISTACHIOVANE_CONFIG,required" help:"settings file of the platform"`
+	Metrics  uint16 `arg:"--metrics" default:"9464" help:"port of metrics, dump and health; 0 serves none"`
 }
 
 func (c *edgeCommand) run(ctx context.Context, o output) error {
@@ -62,9 +67,43 @@
 		return errors.Wrap(err, "listen for gateways")
 	}
 	e := edge.New(edgeOptions(s), edgeSources(s), gossip, logger)
+	metrics, err := edgeMetrics(e)
+	if err != nil {
+		return err
+	}
+	if c.Metrics > 0 {
+		l, err := listen(netip.AddrPortFrom(s.Gossip.Addr(), c.Metrics).String())
+		if err != nil {
+			return err
+		}
+		e.Add(operator.New(l, e, metrics))
+	}
 	return serveEdge(ctx, s, e, logger)
 }
 
+// edgeMetrics returns the counters and latency histograms of a gateway.
+func edgeMetrics(e *edge.Edge) (*meter.Meter, error) {
+	m, err := meter.New(e.Readings())
+	if err != nil {
+		return nil, err
+	}
+	var t forwarder.Timings
+	for _, h := range []struct {
+		name, help string
+		record     *func(time.Duration)
+	}{
+		{"pistachiovane.generation.waited", "Time until a generation could start.", &t.Waited},
+		{"pistachiovane.answer.first", "Time until the head of an answer.", &t.First},
+		{"pistachiovane.answer.whole", "Time until the end of an answer.", &t.Whole},
+	} {
+		if *h.record, err = m.Timing(h.name, h.help); err != nil {
+			return nil, err
+		}
+	}
+	e.Observe(t)
+	return m, nil
+}
+
 // bounded returns a logger that drops lines rather than wait for the output.
 func bounded(l *log.Logger) (logger *log.Logger, flush func()) {
 	w := &log.AsyncWriter{ChannelSize: logLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	b, err := io.ReadAll(response.Body)
 	return answer{status: response.StatusCode, header: response.Header, body: string(b), err: err}
 }
@@ -437,7 +437,6 @@
 
 // lockedBuffer is a log that tests read while it is written.
 type lockedBuffer struct {
-	lock   chan struct{}
 	buffer bytes.Buffer
 }
 
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -180,6 +180,11 @@
 	e.supervisor.Add(&sweeper{pool: e.sources.Pool})
 }
 
+// Add has a part supervised along with the others; it must be called before Serve.
+func (e *Edge) Add(s suture.Service) {
+	e.supervisor.Add(s)
+}
+
 // Serve runs the gateway until the context ends.
 func (e *Edge) Serve(ctx context.Context) error {
 	e.log.Info().Str("name", e.options.Name).Str("domain", e.options.Domain).Msg("gateway: started")
@@ -305,11 +310,6 @@
 	e.log.Info().Int("busy", e.director.Busy()).Msg("gateway: drained")
 }
 
-// Stats returns the counts of outcomes.
-func (e *Edge) Stats() *forwarder.Stats {
-	return &e.forwarder.Stats
-}
-
 // sweeper closes unused connections.
 type sweeper struct {
 	pool *exchanger.Exchanger
--- a/internal/proxy/exchanger/exchanger_test.go
+++ b/internal/proxy/exchanger/exchanger_test.go
@@ -43,7 +43,7 @@
 }
 
 func answer(c net.Conn, texts <-chan string) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -55,6 +55,8 @@
 	seed      maphash.Seed
 	// stopAt is the time at which the process will end, in ns; zero while it is not known.
 	stopAt atomic.Int64
+	// timings is nil while nobody takes them in.
+	timings atomic.Pointer[Timings]
 	// Stats counts outcomes.
 	Stats Stats
 }
@@ -83,6 +85,11 @@
 	record record
 }
 
+// Observe has the times of answered requests taken in.
+func (f *Forwarder) Observe(t Timings) {
+	f.timings.Store(&t)
+}
+
 // StopAt tells when the process will end. Requests that would not have ended by then are refused from now on.
 func (f *Forwarder) StopAt(t time.Duration) {
 	f.stopAt.Store(int64(t))
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -34,8 +34,30 @@
 	events int
 }
 
+// Timings takes in how long answered requests took.
+type Timings struct {
+	// Waited is the time until a generation could start, First that until the head of the answer, Whole that until its
+	// end, all since the request came.
+	Waited func(time.Duration)
+	First  func(time.Duration)
+	Whole  func(time.Duration)
+}
+
+func (f *Forwarder) observe(j *job) {
+	t := f.timings.Load()
+	if t == nil || j.record.endpoint == "" || j.record.status >= 300 {
+		return
+	}
+	if j.engine != nil {
+		t.Waited(j.record.waited)
+	}
+	t.First(j.record.first)
+	t.Whole(f.clock() - j.since)
+}
+
 // finish writes the one line that says what became of a request.
 func (f *Forwarder) finish(j *job) {
+	f.observe(j)
 	switch status := j.record.status; {
 	case status >= 200 && status < 300 && j.record.reason == "":
 		f.Stats.Answered.Add(1)
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -199,6 +199,20 @@
 	return d.busy
 }
 
+// Waiting returns how many generations wait for room.
+func (d *Director) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.planner.Waiting()
+}
+
+// Levels returns the tokens that each account has left.
+func (d *Director) Levels() map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.capper.Levels(d.clock())
+}
+
 // Admit charges an account; where it may not run now, wait tells when it may.
 func (d *Director) Admit(account string, tokens int) (wait time.Duration, ok bool) {
 	d.mu.Lock()
--- a/service/meter/meter.go
+++ b/service/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,10 +26,14 @@
 
 // Meter serves readings.
 type Meter struct {
-	handler  http.Handler
-	provider *sdk.MeterProvider
+	handler     http.Handler
+	provider    *sdk.MeterProvider
+	instruments metric.Meter
 }
 
+// timingBounds are the bounds of the buckets of a timing, in seconds.
+var timingBounds = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 6, 12}
+
 // New returns a meter of the readings. It fails on names that are not allowed or stand twice.
 func New(readings []Reading) (*Meter, error) {
 	registry := prometheus.NewRegistry()
@@ -43,7 +48,16 @@
 			return nil, err
 		}
 	}
-	return &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), provider: provider}, nil
+	return &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), provider: provider, instruments: instruments}, nil
+}
+
+// Timing adds a histogram of times in seconds and returns how to record one.
+func (m *Meter) Timing(name, help string) (record func(time.Duration), err error) {
+	h, err := m.instruments.Float64Histogram(name, metric.WithDescription(help), metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(timingBounds...))
+	if err != nil {
+		return nil, errors.Wrapf(err, "register %s", name)
+	}
+	return func(d time.Duration) { h.Record(context.Background(), d.Seconds()) }, nil
 }
 
 // ServeHTTP answers with all readings.
