--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/gossiper"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/blamer"
 	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
 	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
@@ -101,6 +102,9 @@
 	prefillRate = 55000
 	// heardLately is the age of a message up to which its sender counts for the giving of orders.
 	heardLately = 1500 * time.Millisecond
+	// poisonWindow is how long a crash is blamed on a request, poisonLimit how many requests are remembered.
+	poisonWindow = time.Minute
+	poisonLimit  = 256
 	// sweepEvery is how often unused connections are looked at.
 	sweepEvery = time.Second
 	// drainPoll is how often a stopping process looks whether its work has ended.
@@ -145,6 +149,7 @@
 	e.director = director.New(director.Parts{
 		Clock: clock.Boot, Tracker: e.tracker, Planner: planner.New(planOptions(o.Domain)), Balancer: balancer.New(o.Domain),
 		Capper: capper.New(o.Limits, clock.Boot()), Retrier: retrier.New(o.Repeat), Balance: rebalancer.New(balanceOptions()),
+		Blamer: blamer.New(poisonWindow, poisonLimit),
 	})
 	revoke := o.Revoke - revokeMargin
 	e.forwarder = forwarder.New(forwarder.Options{Revoke: revoke, Doubt: doubtAge, Leave: leaveLeast}, clock.Boot, e.tracker, e.director, s.Endpoints, logger)
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/limits/blamer"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 )
@@ -107,7 +108,7 @@
 	} else {
 		got = f.judgeFailure(ctx, j, err, again)
 	}
-	f.reportCall(e, got, r)
+	f.reportCall(j, e, got, r)
 	if got == answered {
 		f.passOn(j, r, answer)
 	}
@@ -167,7 +168,8 @@
 }
 
 // reportCall tells the balancer how the endpoint did.
-func (f *Forwarder) reportCall(e *balancer.Endpoint, got result, r *Reply) {
+func (f *Forwarder) reportCall(j *job, e *balancer.Endpoint, got result, r *Reply) {
+	f.reportCrash(j, e.ID, got, r != nil)
 	f.director.Balanced(func(b *balancer.Balancer, now time.Duration) {
 		b.End(e.ID)
 		if r != nil && r.Slots > 0 {
@@ -186,6 +188,21 @@
 	})
 }
 
+// reportCrash tells the blamer what a call says of the endpoint's health; answered is set where it sent the head of an
+// answer.
+func (f *Forwarder) reportCrash(j *job, id string, got result, answered bool) {
+	f.director.Blamed(func(b *blamer.Blamer, now time.Duration) {
+		switch {
+		case got == broken:
+			b.Broke(id, j.fingerprint, now)
+		case got == unreachable:
+			b.Down(id, now)
+		case answered:
+			b.Up(id)
+		}
+	})
+}
+
 // passOn writes an answer to the caller; what is longer than the part that was read follows as it comes.
 func (f *Forwarder) passOn(j *job, r *Reply, answer []byte) {
 	copyHeader(j.w.Header(), r.Header)
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -11,12 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
 	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/routing/director"
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
 // Options are the bounds of a forwarder.
@@ -37,6 +39,8 @@
 	retryLater = time.Second
 	// retryElsewhere is what callers of a stopping process are told: others have room.
 	retryElsewhere = 100 * time.Millisecond
+	// retryPoison is what the caller of a request is told that has crashed endpoints.
+	retryPoison = 10 * time.Second
 	// callUsual and streamUsual are how long nearly all requests take.
 	callUsual   = 1500 * time.Millisecond
 	streamUsual = 4600 * time.Millisecond
@@ -82,7 +86,9 @@
 	// charge is what the account paid, in tokens; ran is set once an endpoint may have run the request.
 	charge int
 	ran    bool
-	record record
+	// fingerprint is the same for each repeat by the caller.
+	fingerprint quarantiner.Fingerprint
+	record      record
 }
 
 // Observe has the times of answered requests taken in.
@@ -154,9 +160,23 @@
 	if f.endsTooLate(j) {
 		return f.refuse(j, http.StatusServiceUnavailable, retryElsewhere, "process is stopping")
 	}
+	j.fingerprint = fingerprint(j)
+	if f.director.Poisonous(j.fingerprint) {
+		return f.refuse(j, http.StatusServiceUnavailable, retryPoison, "crashes endpoints")
+	}
 	return true
 }
 
+func fingerprint(j *job) quarantiner.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{j.accountName(), j.Target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\x00")
+	}
+	_, _ = d.Write(j.Body)
+	return quarantiner.Fingerprint(d.Sum64())
+}
+
 // endsTooLate tells whether the process will probably end before the request does.
 func (f *Forwarder) endsTooLate(j *job) bool {
 	stop := time.Duration(f.stopAt.Load())
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -159,6 +159,7 @@
 			return
 		}
 		got := f.decode(ctx, g)
+		f.reportCrash(g.job, g.plan.Decode.ID, got, got == answered)
 		switch got {
 		case answered:
 			return
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -11,12 +11,14 @@
 	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/gossiper"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/blamer"
 	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
 	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
 // tickEvery is how often waiting generations are looked at.
@@ -41,6 +43,7 @@
 	Capper   *capper.Capper
 	Retrier  *retrier.Retrier
 	Balance  *rebalancer.Rebalancer
+	Blamer   *blamer.Blamer
 }
 
 // Director is safe for concurrent use.
@@ -54,6 +57,7 @@
 	capper   *capper.Capper
 	retrier  *retrier.Retrier
 	balance  *rebalancer.Rebalancer
+	blamer   *blamer.Blamer
 	// config is the configuration that the parts were set to; listed are the endpoints.
 	config  *matcher.Matcher
 	listed  []lister.Endpoint
@@ -70,7 +74,7 @@
 // New returns a director of the parts; they must not be used by others.
 func New(p Parts) *Director {
 	return &Director{
-		clock: p.Clock, tracker: p.Tracker, planner: p.Planner, balancer: p.Balancer, capper: p.Capper, retrier: p.Retrier, balance: p.Balance,
+		clock: p.Clock, tracker: p.Tracker, planner: p.Planner, balancer: p.Balancer, capper: p.Capper, retrier: p.Retrier, balance: p.Balance, blamer: p.Blamer,
 		waiting: map[uint64]chan planner.Verdict{}, gateways: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -336,6 +340,9 @@
 		}
 		m.Ordered[id] = (now - at).Milliseconds()
 	}
+	for _, b := range d.blamer.Blames(now) {
+		m.Blames = append(m.Blames, gossiper.Blame{Fingerprint: uint64(b.Fingerprint), Endpoints: b.Endpoints, Age: b.Age.Milliseconds()})
+	}
 	m.Totals = d.capper.Totals()
 	m.Young = d.capper.Young(now)
 	if levels && !m.Young {
@@ -356,6 +363,7 @@
 	d.capper.Hear(m.From, m.Incarnation, m.Totals, now)
 	d.capper.Adopt(m.Levels, now)
 	d.ordered(m.Ordered, now)
+	d.blamer.Merge(decodeBlames(m.Blames), now)
 	loads := make(map[string]planner.Load, len(m.Loads))
 	for _, l := range m.Loads {
 		loads[l.Endpoint] = decodeLoad(l)
@@ -423,6 +431,30 @@
 	return out
 }
 
+func decodeBlames(blames []gossiper.Blame) []quarantiner.Blame {
+	out := make([]quarantiner.Blame, 0, len(blames))
+	for _, b := range blames {
+		out = append(out, quarantiner.Blame{
+			Fingerprint: quarantiner.Fingerprint(b.Fingerprint), Endpoints: b.Endpoints, Age: time.Duration(b.Age) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+// Blamed runs a change of the blamer.
+func (d *Director) Blamed(change func(b *blamer.Blamer, now time.Duration)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(d.blamer, d.clock())
+}
+
+// Poisonous tells whether a request has crashed so many endpoints that it is not to be sent again.
+func (d *Director) Poisonous(f quarantiner.Fingerprint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.blamer.Refused(f, d.clock())
+}
+
 func encodeLoad(id string, l planner.Load) gossiper.Load {
 	out := gossiper.Load{Endpoint: id, Backlog: l.Backlog}
 	for _, r := range l.Runs {
