--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -420,6 +420,17 @@
 	}
 }
 
+// A read that failed at one endpoint, and whose repeat found no room, gets the failure that the endpoint gave.
+func TestEdgePassesOnTheFailureWhenARepeatFindsNoRoom(t *testing.T) {
+	w := newWorld(t)
+	w.plain[0].Do(standin.Failing)
+	w.plain[1].Do(standin.Full)
+	a := w.get(http.MethodGet, "/read/1")
+	if a.status != 500 || a.header.Get("X-Pistachiovane-Server-Seal") == "" {
+		t.Errorf("got %+v, want the endpoint's own failure", a)
+	}
+}
+
 // A line says of each request what decided it.
 func TestEdgeLogsOneLineARequest(t *testing.T) {
 	w := newWorld(t)
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -76,11 +76,25 @@
 		case notRun, unreachable:
 		}
 	}
-	if j.ran {
+	f.endUnanswered(j)
+}
+
+// heldAnswer is the head and the whole body of an answer.
+type heldAnswer struct {
+	reply *Reply
+	body  []byte
+}
+
+// endUnanswered answers a request that no endpoint has answered well.
+func (f *Forwarder) endUnanswered(j *job) {
+	switch {
+	case j.failure != nil:
+		f.passOn(j, j.failure.reply, j.failure.body)
+	case j.ran:
 		f.refuse(j, http.StatusBadGateway, 0, "no other endpoint")
-		return
+	default:
+		f.refuse(j, http.StatusServiceUnavailable, retrySoon, "no endpoint with room")
 	}
-	f.refuse(j, http.StatusServiceUnavailable, retrySoon, "no endpoint with room")
 }
 
 func (f *Forwarder) take(j *job, avoided map[string]bool) (e *balancer.Endpoint) {
@@ -161,7 +175,8 @@
 		f.log.Info().Str("id", j.ID).Str("endpoint", j.record.endpoint).Err(err).Msg("forward: answer broke off")
 		return broken, nil
 	}
-	if r.Status >= http.StatusInternalServerError && again {
+	if r.Status >= http.StatusInternalServerError && again && buffer.Len() < bodyHeld {
+		j.failure = &heldAnswer{reply: r, body: buffer.Bytes()}
 		return failed, nil
 	}
 	return answered, buffer.Bytes()
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -86,6 +86,8 @@
 	// charge is what the account paid, in tokens; ran is set once an endpoint may have run the request.
 	charge int
 	ran    bool
+	// failure is an endpoint's own failure that is held back while the request is repeated; nil when there is none.
+	failure *heldAnswer
 	// fingerprint is the same for each repeat by the caller.
 	fingerprint quarantiner.Fingerprint
 	record      record
