--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -21,11 +21,11 @@
 
 // record is what the log line of a request says.
 type record struct {
-	status   int
-	reason   string
+	status int
+	reason string
 	// asked is what the account could not pay, in tokens, and retry when the caller was asked to return.
-	asked int
-	retry time.Duration
+	asked    int
+	retry    time.Duration
 	prefill  string
 	endpoint string
 	// calls counts the calls to endpoints that were sent.
