Tell other gateways only what changed lately

Totals are told for 2 s after a change and whole every 16th time; what was supposed of a silent gateway is given back only on a whole message, which the random model plays.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -30,6 +30,8 @@
 	forget = 20 * time.Second
 	// knownMost bounds the addresses named in a message.
 	knownMost = 4
+	// knownEvery is how often addresses are named, in messages.
+	knownEvery = 8
 )
 
 // State is the process whose state is exchanged.
@@ -207,7 +209,9 @@
 	g.mu.Lock()
 	g.sequence++
 	m.From, m.Incarnation, m.Sequence = g.self, g.incarnation, g.sequence
-	m.Known = g.some()
+	if g.sequence%knownEvery == 1 {
+		m.Known = g.some()
+	}
 	g.mu.Unlock()
 	b, err := m.encode()
 	if err != nil {
--- a/internal/fleet/gossiper/message.go
+++ b/internal/fleet/gossiper/message.go
@@ -58,8 +58,9 @@
 	Loads   []Load `json:"load,omitempty"`
 	// Held are the requests that endpoints of plain services said they hold, and the age of that in ms.
 	Held map[string][2]int64 `json:"held,omitempty"`
-	// Totals are the tokens admitted for each account since the start.
+	// Totals are the tokens admitted since the start for each account that was charged lately; Whole tells that it is all.
 	Totals map[string]float64 `json:"total,omitempty"`
+	Whole  bool               `json:"whole,omitempty"`
 	// Levels are the tokens that each account has left.
 	Levels map[string]float64 `json:"level,omitempty"`
 	Blames []Blame            `json:"blame,omitempty"`
--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -7,6 +7,7 @@
 package capper
 
 import (
+	"maps"
 	"time"
 )
 
@@ -56,6 +57,8 @@
 	last  time.Duration
 	// total counts the own admissions since the process started, less what was returned.
 	total float64
+	// moved is when total changed last.
+	moved time.Duration
 	// latest holds the own admissions of the last Silent.
 	latest []admission
 }
@@ -138,6 +141,7 @@
 	}
 	a.level -= tokens
 	a.total += tokens
+	a.moved = now
 	a.latest = append(a.latest, admission{at: now, tokens: tokens})
 	return 0, true
 }
@@ -173,14 +177,15 @@
 	c.advance(now)
 	a.level = min(c.burst(a.plan), a.level+tokens)
 	a.total -= tokens
+	a.moved = now
 	a.latest = append(a.latest, admission{at: now, tokens: -tokens})
 }
 
-// Totals returns the own admissions of each account since the start.
-func (c *Capper) Totals() map[string]float64 {
+// Totals returns the own admissions since the start of each account that had some within a time.
+func (c *Capper) Totals(within, now time.Duration) map[string]float64 {
 	out := make(map[string]float64, len(c.accounts))
 	for name, a := range c.accounts {
-		if a.total != 0 {
+		if a.total != 0 && now-a.moved <= within {
 			out[name] = a.total
 		}
 	}
@@ -216,13 +221,16 @@
 	return !c.adopted && now-c.started <= adoptWithin
 }
 
-// Hear takes in the totals of another gateway. What was supposed of it while it was silent gives way to what it did.
-func (c *Capper) Hear(gateway string, incarnation uint64, totals map[string]float64, now time.Duration) {
+// Hear takes in the totals of another gateway, of those accounts at least that it admitted something for since it was heard
+// from last; whole tells that it is all accounts. What was supposed of it while it was silent gives way to what it did
+// once all is told.
+func (c *Capper) Hear(gateway string, incarnation uint64, totals map[string]float64, whole bool, now time.Duration) {
 	c.advance(now)
 	p, ok := c.peers[gateway]
 	if !ok {
 		// What it admitted before is in no level here.
-		c.peers[gateway] = &peer{incarnation: incarnation, heard: now, totals: totals, supposed: map[string]float64{}}
+		c.peers[gateway] = &peer{incarnation: incarnation, heard: now, totals: map[string]float64{}, supposed: map[string]float64{}}
+		maps.Copy(c.peers[gateway].totals, totals)
 		return
 	}
 	if p.incarnation != incarnation {
@@ -230,10 +238,24 @@
 		c.charge(p)
 	}
 	for name, a := range c.accounts {
-		delta := totals[name] - p.totals[name]
-		a.level = min(c.burst(a.plan), a.level-delta+p.supposed[name])
+		delta := 0.0
+		if total, told := totals[name]; told {
+			delta = total - p.totals[name]
+			p.totals[name] = total
+		}
+		a.level -= delta
+	}
+	p.heard, p.silent = now, false
+	if whole {
+		c.release(p)
+	}
+}
+
+// release gives back what was supposed of a gateway.
+func (c *Capper) release(p *peer) {
+	for name, a := range c.accounts {
+		a.level = min(c.burst(a.plan), a.level+p.supposed[name])
 	}
-	p.totals, p.heard, p.silent = totals, now, false
 	clear(p.supposed)
 }
 
@@ -274,7 +296,7 @@
 	for name, a := range c.accounts {
 		share := (c.burst(a.plan) + a.plan.Rate*c.options.Silent.Seconds()) / float64(c.gateways())
 		a.level -= share
-		p.supposed[name] = share
+		p.supposed[name] += share
 	}
 }
 
--- a/internal/limits/capper/capper_test.go
+++ b/internal/limits/capper/capper_test.go
@@ -37,6 +37,8 @@
 	side []int
 	now  time.Duration
 	runs []run
+	// messages counts the messages sent; one in eight tells all totals.
+	messages int
 }
 
 type run struct {
@@ -69,12 +71,17 @@
 
 func (f *fleet) gossip() {
 	for i, from := range f.cappers {
-		totals, levels := from.Totals(), from.Levels(f.now)
+		f.messages++
+		within, whole := 2*time.Second, f.messages%16 < 2
+		if whole {
+			within = f.now
+		}
+		totals, levels := from.Totals(within, f.now), from.Levels(f.now)
 		for j, to := range f.cappers {
 			if i == j || f.side[i] != f.side[j] {
 				continue
 			}
-			to.Hear(f.names[i], f.incarnations[i], totals, f.now)
+			to.Hear(f.names[i], f.incarnations[i], totals, whole, f.now)
 			if !from.Young(f.now) {
 				to.Adopt(levels, f.now)
 			}
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -43,6 +43,8 @@
 	held     int
 	others   int
 	othersAt time.Duration
+	// toldAt is when the endpoint said so to this gateway.
+	toldAt time.Duration
 	// failing is the share of failures among the latest answers.
 	failing  float64
 	judgedAt time.Duration
@@ -180,8 +182,16 @@
 	}
 }
 
-// Report takes in how many requests an endpoint said it held at a time, of all gateways, to this gateway or to another.
+// Report takes in how many requests an endpoint said it held at a time, of all gateways.
 func (b *Balancer) Report(id string, held int, at time.Duration) {
+	b.Hear(id, held, at)
+	if n, ok := b.nodes[id]; ok && at == n.othersAt {
+		n.toldAt = at
+	}
+}
+
+// Hear takes in what an endpoint said to another gateway.
+func (b *Balancer) Hear(id string, held int, at time.Duration) {
 	if n, ok := b.nodes[id]; ok && at >= n.othersAt {
 		n.held = held
 		n.others = max(0, held-n.own)
@@ -195,11 +205,11 @@
 	Age      time.Duration
 }
 
-// Reports returns what endpoints said within the time for which it is believed.
+// Reports returns what endpoints said to this gateway within the time for which it is believed.
 func (b *Balancer) Reports(now time.Duration) map[string]Held {
 	out := make(map[string]Held)
 	for _, n := range b.order {
-		if age := now - n.othersAt; n.othersAt > 0 && age < loadFor {
+		if age := now - n.toldAt; n.toldAt > 0 && n.toldAt == n.othersAt && age < loadFor {
 			out[n.ID] = Held{Requests: n.held, Age: age}
 		}
 	}
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -27,6 +27,10 @@
 const (
 	// switchWithin is how long an endpoint's change of stage takes to show in the list, at most.
 	switchWithin = 9 * time.Second
+	// tellFor is how long a change of an account's total is told, so that a lost message does no harm; every wholeEvery-th
+	// message has all totals.
+	tellFor    = 2 * time.Second
+	wholeEvery = 16
 	// awakeWithin is the longest pause between two own messages of a process that has run all the while. After a longer
 	// one, messages that are read may have waited, and the ages in them are too young.
 	awakeWithin = time.Second
@@ -68,6 +72,7 @@
 	gateways map[string]bool
 	// composedAt is when the own state was composed last.
 	composedAt time.Duration
+	composed   uint64
 	wake       chan struct{}
 }
 
@@ -349,7 +354,12 @@
 	for _, b := range d.blamer.Blames(now) {
 		m.Blames = append(m.Blames, gossiper.Blame{Fingerprint: uint64(b.Fingerprint), Endpoints: b.Endpoints, Age: b.Age.Milliseconds()})
 	}
-	m.Totals = d.capper.Totals()
+	within := tellFor
+	if d.composed%wholeEvery == 0 {
+		within, m.Whole = now, true
+	}
+	d.composed++
+	m.Totals = d.capper.Totals(within, now)
 	m.Young = d.capper.Young(now)
 	if levels && !m.Young {
 		m.Levels = d.capper.Levels(now)
@@ -366,7 +376,7 @@
 		d.gateways[m.From] = true
 		d.retrier.Share(len(d.gateways) + 1)
 	}
-	d.capper.Hear(m.From, m.Incarnation, m.Totals, now)
+	d.capper.Hear(m.From, m.Incarnation, m.Totals, m.Whole, now)
 	d.capper.Adopt(m.Levels, now)
 	d.ordered(m.Ordered, now)
 	d.blamer.Merge(decodeBlames(m.Blames), now)
@@ -376,7 +386,7 @@
 	}
 	d.planner.Peer(m.From, loads, now)
 	for id, h := range m.Held {
-		d.balancer.Report(id, int(h[0]), now-time.Duration(h[1])*time.Millisecond)
+		d.balancer.Hear(id, int(h[0]), now-time.Duration(h[1])*time.Millisecond)
 	}
 	if now-d.composedAt < awakeWithin {
 		d.tracker.Vouch(m.Version, now-time.Duration(m.Age)*time.Millisecond-transit)
