Leave endpoints alone that reset at once; bound what gateways tell each other

A break sooner than any work takes now counts as out of reach. Ruled out: lost answers, which break after the work.

--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -236,6 +236,36 @@
 	}
 }
 
+// An endpoint that resets every connection at once looks idle and would draw all requests (bench: srv_flap on a grown
+// deployment, 250 bookings got 502 in five seconds).
+func TestEdgeLeavesAnEndpointAloneThatResetsAtOnce(t *testing.T) {
+	w := newWorld(t)
+	resets := make([]standin.Fault, 40)
+	for i := range resets {
+		resets[i] = standin.Reset
+	}
+	w.plain[0].Do(resets...)
+	w.plain[1].Work = 300 * time.Millisecond
+	requests := make([]*http.Request, 20)
+	for i := range requests {
+		requests[i] = w.request(http.MethodPost, "/book/1", "body")
+	}
+	got := make(chan int, len(requests))
+	for _, r := range requests {
+		go func() { got <- w.send(r).status }()
+		time.Sleep(10 * time.Millisecond)
+	}
+	failures := 0
+	for range requests {
+		if <-got != 200 {
+			failures++
+		}
+	}
+	if failures > 2 {
+		t.Errorf("%d of %d bookings failed, want at most the first", failures, len(requests))
+	}
+}
+
 // What endpoints do wrong, what the caller of a read gets then, and what the caller of a booking gets, which may run
 // only once.
 func TestEdgeAnswersBadEndpoints(t *testing.T) {
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -1,7 +1,10 @@
 // Package lister holds the endpoints that the platform lists.
 package lister
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 // Endpoint is one start of an endpoint.
 type Endpoint struct {
@@ -79,8 +82,14 @@
 	return out
 }
 
-// Recent returns the entries that changed within a time. Removed ones are forgotten after the keep time.
-func (l *Lister) Recent(within, keep, now time.Duration) []Entry {
+// Settle counts all changes so far as old: everybody reads the whole list at its start.
+func (l *Lister) Settle() {
+	clear(l.changed)
+}
+
+// Recent returns the entries that changed within a time, the latest first and at most so many. Removed ones are forgotten
+// after the keep time.
+func (l *Lister) Recent(within, keep, now time.Duration, most int) []Entry {
 	var out []Entry
 	for key, at := range l.changed {
 		if now-at <= within {
@@ -94,5 +103,6 @@
 			}
 		}
 	}
-	return out
+	sort.Slice(out, func(i, j int) bool { return l.changed[out[i].Key] > l.changed[out[j].Key] })
+	return out[:min(most, len(out))]
 }
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -1,6 +1,7 @@
 package lister_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -29,7 +30,29 @@
 	if l.Apply(lister.Entry{Key: "a", Revision: 6, Endpoint: lister.Endpoint{ID: "a"}}, time.Second) {
 		t.Error("a heartbeat counted as a change")
 	}
-	if got := l.Recent(500*time.Millisecond, time.Minute, time.Second); len(got) != 0 {
+	if got := l.Recent(500*time.Millisecond, time.Minute, time.Second, 10); len(got) != 0 {
 		t.Errorf("%v is told to others, want nothing", got)
 	}
 }
+
+// A list of thousands must not be told whole: it would not fit into a message.
+func TestOnlyTheLatestChangesAreTold(t *testing.T) {
+	l := lister.New()
+	apply := func(from, to int, at time.Duration) {
+		for i := from; i < to; i++ {
+			key := strconv.Itoa(i)
+			l.Apply(lister.Entry{Key: key, Revision: uint64(i + 1), Endpoint: lister.Endpoint{ID: key}}, at)
+		}
+	}
+	apply(0, 3000, 0)
+	l.Settle()
+	if got := l.Recent(time.Second, time.Minute, 0, 32); len(got) != 0 {
+		t.Errorf("%d entries of the first reading are told, want none", len(got))
+	}
+	apply(3000, 3100, time.Millisecond)
+	apply(3100, 3101, 2*time.Millisecond)
+	got := l.Recent(time.Second, time.Minute, 2*time.Millisecond, 32)
+	if len(got) != 32 || got[0].Key != "3100" {
+		t.Errorf("%d entries are told, the first is %q; want 32 with the latest first", len(got), got[0].Key)
+	}
+}
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -76,8 +76,9 @@
 	endpointWait  = 1500 * time.Millisecond
 	endpointPause = 900 * time.Millisecond
 	listenerPause = 5 * time.Second
-	// tellFor is how long a change of the list is told to the others, removedFor how long a removal is remembered.
+	// tellFor is how long a change of the list is told to the others, tellMost how many at a time, removedFor how long a removal is remembered.
 	tellFor    = 3 * time.Second
+	tellMost   = 32
 	removedFor = 30 * time.Second
 	// behindFor is how long another gateway has a newer configuration before it is read out of turn.
 	behindFor = 250 * time.Millisecond
@@ -134,6 +135,8 @@
 
 	mu     sync.Mutex
 	lister *lister.Lister
+	// listed is set once the whole list was read.
+	listed bool
 	// behindAt is when another gateway was first heard to have a newer configuration; zero while none has.
 	behindAt time.Duration
 	// nudgedAt is when the configuration was last read out of turn because it might be old.
@@ -240,6 +243,10 @@
 		}
 	}
 	e.relist(changed, "store")
+	if !e.listed {
+		e.listed = true
+		e.lister.Settle()
+	}
 }
 
 // entry decodes what an update holds under a key; what can't be read names no endpoint.
--- a/internal/process/edge/gossip.go
+++ b/internal/process/edge/gossip.go
@@ -32,7 +32,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stayCurrent(now)
-	for _, c := range e.lister.Recent(tellFor, removedFor, now) {
+	for _, c := range e.lister.Recent(tellFor, removedFor, now, tellMost) {
 		entry := gossiper.Entry{Key: c.Key, Revision: c.Revision, Gone: c.Gone}
 		if !c.Gone {
 			endpoint := c.Endpoint
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -27,6 +27,9 @@
 	slowFactor = 2.5
 )
 
+// instantly is how soon a connection breaks whose endpoint is not there any more: sooner than any work takes.
+const instantly = 12 * time.Millisecond
+
 // result tells how a call to an endpoint ended.
 type result uint8
 
@@ -110,6 +113,7 @@
 	ctx, cancel := f.callContext(ctx, j, again)
 	defer cancel()
 	left := f.left(j)
+	began := f.clock()
 	r, err := f.endpoints.Run(ctx, e.Address, Call{
 		Request: j.Request, Instance: e.ID, Account: j.accountName(), Budget: left, Fresh: j.route.Kind == matcher.Once,
 	})
@@ -122,7 +126,7 @@
 	} else {
 		got = f.judgeFailure(ctx, j, err, again)
 	}
-	f.reportCall(j, e, got, r)
+	f.reportCall(j, e, got, r, f.clock()-began)
 	if got == answered {
 		f.passOn(j, r, answer)
 	}
@@ -183,7 +187,7 @@
 }
 
 // reportCall tells the balancer how the endpoint did.
-func (f *Forwarder) reportCall(j *job, e *balancer.Endpoint, got result, r *Reply) {
+func (f *Forwarder) reportCall(j *job, e *balancer.Endpoint, got result, r *Reply, took time.Duration) {
 	f.reportCrash(j, e.ID, got, r != nil)
 	f.director.Balanced(func(b *balancer.Balancer, now time.Duration) {
 		b.End(e.ID)
@@ -191,7 +195,7 @@
 			b.Report(e.ID, r.Held, now)
 		}
 		switch {
-		case got == notRun && r != nil && r.Misdirected, got == unreachable:
+		case got == notRun && r != nil && r.Misdirected, got == unreachable, got == broken && r == nil && took < instantly:
 			b.Lost(e.ID, now)
 		case got == notRun:
 			b.Full(e.ID, now)
--- a/internal/routing/rebalancer/rebalancer.go
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -31,6 +31,9 @@
 	Again  time.Duration
 }
 
+// ordersMost bounds the orders given at a time: the others are told of each.
+const ordersMost = 4
+
 // Rebalancer gives orders for one gateway. It is not safe for concurrent use.
 type Rebalancer struct {
 	options Options
@@ -89,7 +92,7 @@
 			readers++
 		}
 	}
-	spare := readers - r.readers(len(endpoints), tokens)
+	spare := min(ordersMost, readers-r.readers(len(endpoints), tokens))
 	var out []string
 	for ; spare > 0; spare-- {
 		id, ok := next(byDomain)
