--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -41,6 +41,8 @@
 	collectPercent = 50
 	// memoryShare is the part of the memory limit that the runtime keeps within.
 	memoryShare = 0.7
+	// silentEach is three times the pause that each gateway adds between two reports to the same one.
+	silentEach = 12 * time.Millisecond
 	// closeTimeout bounds the end of the ports.
 	closeTimeout = 300 * time.Millisecond
 	// logLines is how many log lines wait to be written; more are dropped.
@@ -116,7 +118,7 @@
 		Name: s.Name, Domain: s.Domain, Self: s.Gossip, Seeds: s.Seeds, DrainGrace: s.Bounds.DrainGrace, Revoke: s.Bounds.Revoke,
 		Limits: capper.Options{
 			Window: s.Bounds.LimitWindow, Overage: s.Bounds.LimitOverage, Slack: s.Bounds.LimitSlack,
-			Silent: time.Second, Forget: time.Minute, Least: len(s.Seeds),
+			Silent: time.Second, SilentEach: silentEach, Forget: time.Minute, Least: len(s.Seeds),
 		},
 		Repeat: retrier.Options{Ratio: s.Bounds.RepeatRatio, Extra: s.Bounds.RepeatExtra, Window: s.Bounds.RepeatWindow},
 	}
--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -26,8 +26,10 @@
 	// Overage is the share of the bound, and Slack the tokens, by which imprecision may exceed it.
 	Overage float64
 	Slack   float64
-	// Silent is the age of the latest report after which a gateway is supposed to use its equal share.
-	Silent time.Duration
+	// Silent is the age of the latest report after which a gateway is supposed to use its equal share; SilentEach for each
+	// gateway, where that is more.
+	Silent     time.Duration
+	SilentEach time.Duration
 	// Forget is the age after which a silent gateway is taken for gone.
 	Forget time.Duration
 	// Least is the number of gateways that there are at least, heard from or not.
@@ -118,6 +120,11 @@
 	return c.options.Overage*(p.Rate*c.options.Window.Seconds()+p.Burst) + c.options.Slack
 }
 
+// silentAfter is longer in a large fleet, whose gateways report less often.
+func (c *Capper) silentAfter() time.Duration {
+	return max(c.options.Silent, time.Duration(c.gateways())*c.options.SilentEach)
+}
+
 // gateways is how many gateways share the limits, and unknown how many of them were never heard from.
 func (c *Capper) gateways() int { return max(c.options.Least, len(c.peers)+1) }
 
@@ -156,7 +163,7 @@
 	}
 	sum, expired := 0.0, 0
 	for i, l := range a.latest {
-		if now-l.at > c.options.Silent {
+		if now-l.at > c.silentAfter() {
 			expired = i + 1
 			continue
 		}
@@ -276,7 +283,7 @@
 		switch age := now - p.heard; {
 		case age > c.options.Forget:
 			delete(c.peers, name)
-		case age > c.options.Silent:
+		case age > c.silentAfter():
 			silent++
 			c.suppose(p)
 		}
@@ -294,7 +301,7 @@
 	}
 	p.silent = true
 	for name, a := range c.accounts {
-		share := (c.burst(a.plan) + a.plan.Rate*c.options.Silent.Seconds()) / float64(c.gateways())
+		share := (c.burst(a.plan) + a.plan.Rate*c.silentAfter().Seconds()) / float64(c.gateways())
 		a.level -= share
 		p.supposed[name] += share
 	}
--- a/internal/limits/capper/capper_test.go
+++ b/internal/limits/capper/capper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 	"time"
 
@@ -195,3 +196,25 @@
 		t.Errorf("refused again after the wait of %v", wait)
 	}
 }
+
+// Three hundred gateways report to each other every 1.2 s; nobody is supposed to be silent meanwhile (bench: sweep at 300
+// machines, 0.15 refused).
+func TestLargeFleetReportsSeldomAndIsNotSilent(t *testing.T) {
+	const gateways = 300
+	c := capper.New(capper.Options{Window: window, Overage: 0.25, Slack: 120000, Silent: time.Second, SilentEach: 12 * time.Millisecond, Forget: time.Minute}, 0)
+	c.Set([]capper.Plan{{Account: "acc", Rate: large, Burst: large}}, 0)
+	refused := 0
+	for now := time.Duration(0); now < 20*time.Second; now += 1200 * time.Millisecond {
+		for g := range gateways - 1 {
+			c.Hear(strconv.Itoa(g), 1, nil, true, now)
+		}
+		for range 3 {
+			if _, ok := c.Admit("acc", 8000, now+1100*time.Millisecond); !ok && now > 2*time.Second {
+				refused++
+			}
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d requests were refused though the account kept to a fifth of its rate", refused)
+	}
+}
