Bound the sending of a request's body

Cause: nothing ended a request whose body never came whole; it held a connection for ever. It gets 408 after 10 s, not run. The new test hung before.

--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -34,7 +34,9 @@
 	storeIdle = 10 * time.Second
 	// headerTimeout bounds the sending of a request's header, idleTimeout how long a caller's connection is kept.
 	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	// bodyTimeout bounds the sending of a request's body.
+	bodyTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
 	// headerMost bounds a request's header, in bytes; the configuration's own bound is lower.
 	headerMost = 64 << 10
 	// collectPercent is the growth of the heap between two collections: memory is scarcer than processor time.
@@ -146,7 +148,7 @@
 		return err
 	}
 	callers := &http.Server{
-		Handler: platform.NewIngress(edge.Serving{Edge: e}), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
+		Handler: platform.NewIngress(edge.Serving{Edge: e}, bodyTimeout), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerMost,
 	}
 	questions := &http.Server{Handler: platform.NewReadiness(e.Ready), ReadHeaderTimeout: headerTimeout}
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -72,7 +72,7 @@
 	}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: w.log}}
 	w.edge = edge.New(edgeOptions(s), edgeSources(s), gossip, logger)
-	w.front = httptest.NewServer(platform.NewIngress(edge.Serving{Edge: w.edge}))
+	w.front = httptest.NewServer(platform.NewIngress(edge.Serving{Edge: w.edge}, 500*time.Millisecond))
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	go func() {
@@ -423,6 +423,27 @@
 	}
 }
 
+// A caller who sends too slowly is told that nothing ran, and holds nothing for ever.
+func TestEdgeGivesUpASlowBody(t *testing.T) {
+	w := newWorld(t)
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Pistachiovane-Credential: key\r\nContent-Length: 10\r\n\r\nhalf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil || !strings.Contains(line, " 408 ") || w.plainRuns() != 0 {
+		t.Errorf("got %q, %v", line, err)
+	}
+}
+
 // A caller who goes ends the work for him.
 func TestEdgeEndsTheWorkOfCallersWhoGo(t *testing.T) {
 	w := newWorld(t)
