--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -102,7 +102,7 @@
 
 func (f *Forwarder) take(j *job, avoided map[string]bool) (e *balancer.Endpoint) {
 	f.director.Balanced(func(b *balancer.Balancer, now time.Duration) {
-		e = b.Take(j.service, avoided, false, now)
+		e = b.Take(j.service, avoided, now)
 	})
 	return e
 }
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -92,16 +92,14 @@
 	sort.Slice(b.order, func(i, j int) bool { return b.order[i].ID < b.order[j].ID })
 }
 
-// Take chooses an endpoint of a service and counts a request on it; avoided are those that failed the request
-// before, and get it again only where no other is left and again is set. It returns nil where there is none.
-func (b *Balancer) Take(service string, avoided map[string]bool, again bool, now time.Duration) *Endpoint {
+// Take chooses an endpoint of a service and counts a request on it; avoided are those that failed the request before.
+// It returns nil where no other is left. Endpoints that are left alone are chosen only where there is no other: all
+// may be, and the least bad is then still tried.
+func (b *Balancer) Take(service string, avoided map[string]bool, now time.Duration) *Endpoint {
 	n := b.best(service, avoided, now, false)
 	if n == nil {
 		n = b.best(service, avoided, now, true)
 	}
-	if n == nil && again {
-		n = b.best(service, nil, now, true)
-	}
 	if n == nil {
 		return nil
 	}
--- a/internal/routing/balancer/balancer_test.go
+++ b/internal/routing/balancer/balancer_test.go
@@ -21,7 +21,7 @@
 	b := fresh()
 	got := map[string]int{}
 	for range 6 {
-		got[b.Take("s", nil, false, 0).ID]++
+		got[b.Take("s", nil, 0).ID]++
 	}
 	if got["near"] < got["far"] || got["far"] == 0 {
 		t.Errorf("got %v, want more on the near endpoint and some on the far one", got)
@@ -33,11 +33,11 @@
 	for range 20 {
 		b.Judge("near", false, 0)
 	}
-	if e := b.Take("s", nil, false, 0); e.ID != "far" {
+	if e := b.Take("s", nil, 0); e.ID != "far" {
 		t.Fatal("an endpoint whose answers all fail was chosen")
 	}
 	b.End("far")
-	if e := b.Take("s", nil, false, 20*time.Second); e.ID != "near" {
+	if e := b.Take("s", nil, 20*time.Second); e.ID != "near" {
 		t.Error("an endpoint was not forgiven after 20 s")
 	}
 }
@@ -47,14 +47,14 @@
 	b := fresh()
 	b.Lost("near", 0)
 	b.Lost("far", 0)
-	if b.Take("s", nil, false, 0) == nil {
+	if b.Take("s", nil, 0) == nil {
 		t.Error("nobody was chosen although endpoints are listed")
 	}
 }
 
 func TestFailedEndpointsOfARequestAreNotTriedAgain(t *testing.T) {
 	b := fresh()
-	if e := b.Take("s", map[string]bool{"near": true, "far": true}, false, 0); e != nil {
+	if e := b.Take("s", map[string]bool{"near": true, "far": true}, 0); e != nil {
 		t.Errorf("got %s although both failed the request", e.ID)
 	}
 }
@@ -62,7 +62,7 @@
 func TestReportedLoadOfOthersCounts(t *testing.T) {
 	b := fresh()
 	b.Report("near", 12, 0)
-	if e := b.Take("s", nil, false, 0); e.ID != "far" {
+	if e := b.Take("s", nil, 0); e.ID != "far" {
 		t.Error("an endpoint that reports twelve requests was chosen over an idle one")
 	}
 }
@@ -72,7 +72,7 @@
 	b := fresh()
 	b.Report("near", 12, 2*time.Second)
 	b.Report("near", 0, time.Second)
-	if e := b.Take("s", nil, false, 2*time.Second); e.ID != "far" {
+	if e := b.Take("s", nil, 2*time.Second); e.ID != "far" {
 		t.Error("an older report replaced a newer one")
 	}
 	if got := b.Reports(2*time.Second + 100*time.Millisecond); got["near"] != (balancer.Held{Requests: 12, Age: 100 * time.Millisecond}) {
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -100,9 +100,10 @@
 }
 
 const (
-	// remoteTokens is what another failure domain than the prompt's costs, as a share of a decode endpoint.
+	// remoteShare is what a decode endpoint without a free prefill endpoint in its failure domain costs, as a share of its
+	// load: the KV cache would come from another domain.
 	remoteShare = 0.15
-	// ownDomainShare is the same for another failure domain than the gateway's.
+	// ownDomainShare is what another failure domain than the gateway's costs.
 	ownDomainShare = 0.04
 	// remoteRead is how much longer a prefill endpoint of another failure domain may be preferred for.
 	remoteRead = 120 * time.Millisecond
--- a/internal/routing/rebalancer/rebalancer.go
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -104,7 +104,7 @@
 	return out
 }
 
-// readers returns how many prefill endpoints a service needs; one more than the prompts ask for, so that one may fail.
+// readers returns how many prefill endpoints a service needs for the prompts that the plans allow.
 func (r *Rebalancer) readers(endpoints int, tokens float64) int {
 	need := int(math.Ceil(tokens * r.options.PromptShare / (r.options.PrefillRate * r.options.Busy)))
 	return min(endpoints-1, max(1, need))
