--- /dev/null
+++ b/internal/routing/director/state.go
@@ -0,0 +1,125 @@
+package director
+
+import (
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/fleet/gossiper"
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
+)
+
+// Compose returns what to tell the other gateways.
+func (d *Director) Compose(levels bool) (m gossiper.Message, busy bool) {
+	version, age := d.tracker.Seen()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	d.composedAt = now
+	m.Version, m.Age = version, age.Milliseconds()
+	for id, l := range d.planner.Loads(now) {
+		m.Loads = append(m.Loads, encodeLoad(id, l))
+	}
+	for id, at := range d.balance.Recent(switchWithin, now) {
+		if m.Ordered == nil {
+			m.Ordered = make(map[string]int64)
+		}
+		m.Ordered[id] = (now - at).Milliseconds()
+	}
+	for id, h := range d.balancer.Reports(now) {
+		if m.Held == nil {
+			m.Held = make(map[string][2]int64)
+		}
+		m.Held[id] = [2]int64{int64(h.Requests), h.Age.Milliseconds()}
+	}
+	for _, b := range d.blamer.Blames(now) {
+		m.Blames = append(m.Blames, gossiper.Blame{Fingerprint: uint64(b.Fingerprint), Endpoints: b.Endpoints, Age: b.Age.Milliseconds()})
+	}
+	within := tellFor
+	if d.composed%wholeEvery == 0 {
+		within, m.Whole = now, true
+	}
+	d.composed++
+	m.Totals = d.capper.Totals(within, now)
+	m.Young = d.capper.Young(now)
+	if levels && !m.Young {
+		m.Levels = d.capper.Levels(now)
+	}
+	return m, d.busy > 0
+}
+
+// Receive takes in what another gateway tells.
+func (d *Director) Receive(m gossiper.Message) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	if !d.gateways[m.From] {
+		d.gateways[m.From] = true
+		d.retrier.Share(len(d.gateways) + 1)
+	}
+	d.capper.Hear(m.From, m.Incarnation, m.Totals, m.Whole, now)
+	d.capper.Adopt(m.Levels, now)
+	d.ordered(m.Ordered, now)
+	d.blamer.Merge(decodeBlames(m.Blames), now)
+	loads := make(map[string]planner.Load, len(m.Loads))
+	for _, l := range m.Loads {
+		loads[l.Endpoint] = decodeLoad(l)
+	}
+	d.planner.Peer(m.From, loads, now)
+	for id, h := range m.Held {
+		d.balancer.Hear(id, int(h[0]), now-time.Duration(h[1])*time.Millisecond)
+	}
+	if now-d.composedAt < awakeWithin {
+		d.tracker.Vouch(m.Version, now-time.Duration(m.Age)*time.Millisecond-transit)
+	}
+	if d.planner.Waiting() > 0 {
+		d.deliver(d.planner.Tick(now))
+	}
+}
+
+// ordered takes in the orders of another gateway.
+func (d *Director) ordered(ages map[string]int64, now time.Duration) {
+	recent := d.balance.Recent(switchWithin, now)
+	news := false
+	for id, age := range ages {
+		_, known := recent[id]
+		news = news || !known
+		d.balance.Ordered(id, now-time.Duration(age)*time.Millisecond)
+	}
+	if news {
+		d.place()
+	}
+}
+
+func decodeBlames(blames []gossiper.Blame) []quarantiner.Blame {
+	out := make([]quarantiner.Blame, 0, len(blames))
+	for _, b := range blames {
+		out = append(out, quarantiner.Blame{
+			Fingerprint: quarantiner.Fingerprint(b.Fingerprint), Endpoints: b.Endpoints, Age: time.Duration(b.Age) * time.Millisecond,
+		})
+	}
+	return out
+}
+
+func encodeLoad(id string, l planner.Load) gossiper.Load {
+	out := gossiper.Load{Endpoint: id, Backlog: l.Backlog}
+	for _, r := range l.Runs {
+		out.Runs = append(out.Runs, [3]int{r.Prompt, r.Output, int(r.Age.Milliseconds())})
+	}
+	return out
+}
+
+func decodeLoad(l gossiper.Load) planner.Load {
+	out := planner.Load{Backlog: l.Backlog}
+	for _, r := range l.Runs {
+		out.Runs = append(out.Runs, planner.Run{Prompt: r[0], Output: r[1], Age: time.Duration(r[2]) * time.Millisecond})
+	}
+	return out
+}
+
+// Left forgets another gateway.
+func (d *Director) Left(gateway string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.gateways, gateway)
+	d.retrier.Share(len(d.gateways) + 1)
+}
--- /dev/null
+++ b/internal/routing/planner/place.go
@@ -0,0 +1,175 @@
+package planner
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// remoteShare is what a decode endpoint without a free prefill endpoint in its failure domain costs, as a share of its
+	// load: the KV cache would come from another domain.
+	remoteShare = 0.15
+	// ownDomainShare is what another failure domain than the gateway's costs.
+	ownDomainShare = 0.04
+	// remoteRead is how much longer a prefill endpoint of another failure domain may be preferred for.
+	remoteRead = 120 * time.Millisecond
+)
+
+// place returns endpoints with room for the request, or nil.
+func (p *Planner) place(j *job, now time.Duration) *Plan {
+	decode := p.pickDecode(j, "", now)
+	if decode == nil {
+		return nil
+	}
+	plan := &Plan{Decode: copyOf(decode)}
+	prefill, wait := p.pickPrefill(j, decode.Domain, "", now)
+	if prefill == nil {
+		// Without a prefill endpoint the decode endpoint reads the prompt itself.
+		return plan
+	}
+	if wait > p.options.Backlog {
+		return nil
+	}
+	plan.Prefill = copyOf(prefill)
+	return plan
+}
+
+func copyOf(n *node) *Endpoint {
+	e := n.Endpoint
+	return &e
+}
+
+// pickDecode returns the decode endpoint with the most room, or nil.
+func (p *Planner) pickDecode(j *job, avoid string, now time.Duration) *node {
+	var best *node
+	bestScore := math.Inf(1)
+	for _, n := range p.order {
+		if n.Stage != Decode || n.Service != j.Service || n.ID == avoid || !n.open(now) {
+			continue
+		}
+		runs, peak := p.used(n, j, now)
+		if runs >= n.Slots || float64(peak) > p.options.MemoryShare*float64(n.Memory) {
+			continue
+		}
+		score := max(float64(runs)/float64(n.Slots), float64(peak)/float64(n.Memory))
+		if n.Domain != p.options.Domain {
+			score += ownDomainShare
+		}
+		if !p.readerIn(n.Domain, j.Service, now) {
+			score += remoteShare
+		}
+		if score < bestScore {
+			best, bestScore = n, score
+		}
+	}
+	return best
+}
+
+// readerIn tells whether a prefill endpoint of the domain could take a prompt soon.
+func (p *Planner) readerIn(domain, service string, now time.Duration) bool {
+	for _, n := range p.order {
+		if n.Stage == Prefill && n.Service == service && n.Domain == domain && n.open(now) && p.readWait(n, now) < remoteRead {
+			return true
+		}
+	}
+	return false
+}
+
+// pickPrefill returns the prefill endpoint that begins first, counting another failure domain than the decode
+// endpoint's as a wait, and how long it would keep the prompt waiting.
+func (p *Planner) pickPrefill(j *job, domain, avoid string, now time.Duration) (best *node, wait time.Duration) {
+	bestCost := time.Duration(math.MaxInt64)
+	for _, n := range p.order {
+		if n.Stage != Prefill || n.Service != j.Service || n.ID == avoid || !n.open(now) {
+			continue
+		}
+		w := p.readWait(n, now)
+		cost := w
+		if n.Domain != domain {
+			cost += remoteRead
+		}
+		if cost < bestCost {
+			best, bestCost, wait = n, cost, w
+		}
+	}
+	return best, wait
+}
+
+func (n *node) open(now time.Duration) bool {
+	return !n.gone && now >= n.fullUntil && now >= n.ejectedUntil
+}
+
+// used counts what all gateways run on a decode endpoint, and how much KV memory they will fill at most if the
+// request joins them.
+func (p *Planner) used(n *node, j *job, now time.Duration) (runs, peak int) {
+	p.scratch = append(p.scratch[:0], Run{Prompt: j.Prompt, Output: j.Output})
+	for _, r := range n.own {
+		p.scratch = append(p.scratch, r.at(now))
+	}
+	for _, l := range n.peers {
+		age := now - l.at
+		if age >= p.options.Stale {
+			continue
+		}
+		for _, r := range l.Runs {
+			r.Age += age
+			p.scratch = append(p.scratch, r)
+		}
+	}
+	if now-n.heldAt < p.options.Stale {
+		// What the endpoint holds beyond what is known here runs for gateways out of reach.
+		for len(p.scratch)-1 < n.held {
+			p.scratch = append(p.scratch, Run{Prompt: j.Prompt, Output: j.Output, Age: unknownAge})
+		}
+	}
+	return len(p.scratch) - 1, peakOf(p.scratch, p.options.DecodeRate)
+}
+
+// readWait is the time until a prefill endpoint has read what all gateways gave it.
+func (p *Planner) readWait(n *node, now time.Duration) time.Duration {
+	wait := max(0, n.readAt-now)
+	for _, l := range n.peers {
+		age := now - l.at
+		if age < p.options.Stale {
+			wait += max(0, p.readTime(l.Backlog)-age)
+		}
+	}
+	return wait
+}
+
+func (p *Planner) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / p.options.PrefillRate * float64(time.Second))
+}
+
+func (p *Planner) charge(j *job, reading bool, now time.Duration) {
+	if n, ok := p.nodes[j.plan.Decode.ID]; ok {
+		n.own[j.ID] = Run{Prompt: j.Prompt, Output: j.Output, start: now}
+	}
+	j.reading = reading
+	if n, ok := p.nodes[prefillID(j.plan)]; ok && reading {
+		n.backlog += j.Prompt
+	}
+}
+
+func (p *Planner) enqueueRead(j *job, now time.Duration) {
+	if n, ok := p.nodes[prefillID(j.plan)]; ok {
+		n.readAt = max(now, n.readAt) + p.readTime(j.Prompt)
+	}
+}
+
+func (p *Planner) release(j *job) {
+	if n, ok := p.nodes[j.plan.Decode.ID]; ok {
+		delete(n.own, j.ID)
+	}
+	if n, ok := p.nodes[prefillID(j.plan)]; ok && j.reading {
+		n.backlog -= j.Prompt
+	}
+	j.reading = false
+}
+
+func prefillID(plan *Plan) string {
+	if plan.Prefill == nil {
+		return ""
+	}
+	return plan.Prefill.ID
+}
--- /dev/null
+++ b/internal/routing/planner/wait.go
@@ -0,0 +1,60 @@
+package planner
+
+import (
+	"math"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
+)
+
+const (
+	// rateOver is the time over which the own starts are averaged.
+	rateOver = 2 * time.Second
+	// leastRetry and mostRetry bound the time after which a refused caller is asked to return.
+	leastRetry = 500 * time.Millisecond
+	mostRetry  = 4 * time.Second
+)
+
+// Waiting returns how many requests wait.
+func (p *Planner) Waiting() int {
+	total := 0
+	for _, q := range p.queues {
+		total += q.Len(scheduler.Interactive) + q.Len(scheduler.Draft)
+	}
+	return total
+}
+
+// lateFor tells whether the first event would be late even if the request started now.
+func (p *Planner) lateFor(j *job, now time.Duration) bool {
+	return now+p.readTime(j.Prompt)+p.options.Lead > j.Target
+}
+
+func (p *Planner) queue(service string) *scheduler.Scheduler[*job] {
+	q, ok := p.queues[service]
+	if !ok {
+		q = scheduler.New[*job]()
+		p.queues[service] = q
+	}
+	return q
+}
+
+func (p *Planner) countStart(now time.Duration) {
+	p.starts = p.decayed(now) + 1
+	p.startsAt = now
+}
+
+func (p *Planner) decayed(now time.Duration) float64 {
+	return p.starts * math.Exp(-(now-p.startsAt).Seconds()/rateOver.Seconds())
+}
+
+// expectedWait is how long a request that joins the queue now would wait, by the rate of the own starts.
+func (p *Planner) expectedWait(q *scheduler.Scheduler[*job], now time.Duration) time.Duration {
+	rate := max(0.5, p.decayed(now)/rateOver.Seconds())
+	ahead := q.Len(scheduler.Interactive) + q.Len(scheduler.Draft)
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// retryAfter asks a refused caller to return when what waits now will have started.
+func (p *Planner) retryAfter(wait time.Duration) time.Duration {
+	return min(mostRetry, max(leastRetry, wait))
+}
