Find all gateways before giving orders; fencing tokens that no two gateways share

Addresses were named only in every eighth message. Now all messages name up to 32 while gateways are being found, nobody leads for 3 s after a find, and the low bits of a token tell gateways apart.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -29,9 +29,10 @@
 	// forget is the silence after which a gateway is dropped.
 	forget = 20 * time.Second
 	// knownMost bounds the addresses named in a message.
-	knownMost = 4
-	// knownEvery is how often addresses are named, in messages.
-	knownEvery = 8
+	knownMost = 32
+	// knownEvery is how often addresses are named, in messages; while gateways were found lately, all messages name them.
+	knownEvery  = 16
+	foundLately = 3 * time.Second
 )
 
 // State is the process whose state is exchanged.
@@ -69,6 +70,8 @@
 	peers    map[string]*peer
 	sequence uint64
 	seededAt time.Duration
+	// foundAt is when a gateway was found last.
+	foundAt time.Duration
 	// bytes counts what was sent.
 	bytes uint64
 }
@@ -77,7 +80,7 @@
 func New(conn *net.UDPConn, self string, seeds []netip.AddrPort, c clock.Clock, s State, l *log.Logger) *Gossiper {
 	return &Gossiper{
 		conn: conn, self: self, incarnation: rand.Uint64() | 1, seeds: seeds, clock: c, state: s, log: l,
-		peers: map[string]*peer{}, seededAt: -seedEvery,
+		peers: map[string]*peer{}, seededAt: -seedEvery, foundAt: c(),
 	}
 }
 
@@ -89,12 +92,12 @@
 }
 
 // Order tells whether this gateway has the first address of those heard from lately, how many those are, and how many
-// gateways are known, this one included in both.
+// gateways are known, this one included in both. While gateways were found lately, none is the first: each may know others.
 func (g *Gossiper) Order(lately time.Duration) (first bool, heard, known int) {
 	now := g.clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	first, heard, known = true, 1, 1
+	first, heard, known = now-g.foundAt > foundLately, 1, 1
 	for name, p := range g.peers {
 		known++
 		if now-p.heard > lately {
@@ -209,7 +212,7 @@
 	g.mu.Lock()
 	g.sequence++
 	m.From, m.Incarnation, m.Sequence = g.self, g.incarnation, g.sequence
-	if g.sequence%knownEvery == 1 {
+	if g.sequence%knownEvery == 1 || g.clock()-g.foundAt < foundLately {
 		m.Known = g.some()
 	}
 	g.mu.Unlock()
@@ -279,6 +282,7 @@
 	if !ok {
 		p = &peer{address: address}
 		g.peers[m.From] = p
+		g.foundAt = g.clock()
 		g.log.Info().Str("gateway", m.From).Uint64("incarnation", m.Incarnation).Msg("gossip: gateway found")
 	}
 	if p.incarnation == m.Incarnation && m.Sequence <= p.sequence {
@@ -291,6 +295,7 @@
 		}
 		if a, err := netip.ParseAddrPort(k); err == nil {
 			g.peers[k] = &peer{address: a, heard: g.clock() - forget/2}
+			g.foundAt = g.clock()
 		}
 	}
 	return true
--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -41,6 +41,8 @@
 	allowance = 0.25
 	// adoptWithin is how long after its start a process takes over the levels of another.
 	adoptWithin = 4 * time.Second
+	// aloneFor is how long a process that has just started admits nothing of limited accounts, until it knows the others.
+	aloneFor = 300 * time.Millisecond
 	// requestsUnheard is how many requests of the same size are admitted at least between two reports of the others.
 	requestsUnheard = 3
 	// unheardRetry is what a caller is told whose request has to wait for reports.
@@ -139,7 +141,8 @@
 	c.advance(now)
 	if a.level < tokens {
 		missing := min(tokens, c.burst(a.plan)) - a.level
-		return time.Duration(missing / a.plan.Rate * float64(time.Second)), false
+		alone := max(0, c.started+aloneFor-now)
+		return alone + time.Duration(missing/a.plan.Rate*float64(time.Second)), false
 	}
 	unheard := c.unheard(a, now)
 	share := max((a.level+unheard)/float64(c.gateways()), requestsUnheard*tokens)
@@ -312,7 +315,7 @@
 	if now <= a.last {
 		return
 	}
-	fresh := a.plan.Rate * (now - a.last).Seconds()
+	fresh := a.plan.Rate * max(0, now-max(a.last, c.started+aloneFor)).Seconds()
 	a.last = now
 	each := fresh / float64(c.gateways())
 	for _, p := range c.peers {
--- a/internal/process/edge/orderer.go
+++ b/internal/process/edge/orderer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/pistachiovane/pistachiovane/internal/routing/director"
@@ -47,9 +48,18 @@
 	}
 }
 
+// holderBits is how many low bits of a fencing token tell gateways apart.
+const holderBits = 10
+
+// nextFence returns a fencing token above the own last one, which no other gateway uses. A later gateway's token is higher
+// because it waits before its first order, for longer than clocks differ.
+func nextFence(last int64, holder string, now time.Time) int64 {
+	own := int64(xxhash.Sum64String(holder) % (1 << holderBits))
+	return max(last+1<<holderBits, now.UnixMilli()<<holderBits|own)
+}
+
 func (o *orderer) order(ctx context.Context, t director.Target) {
-	// A later gateway's token is higher because it waits before its first order, for longer than clocks differ.
-	o.fence = max(o.fence+1, time.Now().UnixMilli())
+	o.fence = nextFence(o.fence, o.name, time.Now())
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	accepted, err := o.orders.Decode(ctx, t.Address, t.ID, o.name, o.fence)
