Wait in the edge tests until the account's bucket has filled

Cause: a process that has just started admits nothing of limited accounts for 0.3 s; the tests sent their requests 0.05 s after it was ready and got 429. They wait for the bucket now, and check what they checked before.

--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -81,11 +81,16 @@
 	}()
 	t.Cleanup(w.close)
 	w.eventually(w.edge.Ready, "the gateway is ready")
-	// The account's bucket begins empty.
-	time.Sleep(50 * time.Millisecond)
+	w.eventually(func() bool { return w.levels() > 100000 }, "the account's bucket, which begins empty, has filled up")
 	return w
 }
 
+// levels returns the tokens that the account has left.
+func (w *world) levels() float64 {
+	s, _ := w.edge.State().(edge.State)
+	return s.Levels["acc"]
+}
+
 func (w *world) close() {
 	w.stop()
 	<-w.stopped
