Let one piece of code serve what stood twice on the platform path

Found on reading the whole change again; behaviour stays. Gone: a copy of each request's head before it is written, the accounts copied and sorted twice for each configuration, and two fields that nobody read.

--- a/internal/fleet/gossiper/gossiper.go
+++ b/internal/fleet/gossiper/gossiper.go
@@ -94,21 +94,11 @@
 // Order tells whether this gateway has the first address of those heard from lately, how many those are, and how many
 // gateways are known, this one included in both. While gateways were found lately, none is the first: each may know others.
 func (g *Gossiper) Order(lately time.Duration) (first bool, heard, known int) {
-	now := g.clock()
+	place, heard := g.Place(lately)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	first, heard, known = now-g.foundAt > foundLately, 1, 1
-	for name, p := range g.peers {
-		known++
-		if now-p.heard > lately {
-			continue
-		}
-		heard++
-		if name < g.self {
-			first = false
-		}
-	}
-	return first, heard, known
+	settled := g.clock()-g.foundAt > foundLately
+	return settled && place == 0, heard, len(g.peers) + 1
 }
 
 // Place returns the place of this gateway among those heard from lately, by address, and how many those are.
--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -47,9 +47,7 @@
 // Failure is an exchange without an answer.
 type Failure struct {
 	Stage Stage
-	// Refused is set where the endpoint refused or did not take the connection.
-	Refused bool
-	Cause   error
+	Cause error
 }
 
 // Error returns what failed.
@@ -155,7 +153,7 @@
 func (e *Exchanger) Do(ctx context.Context, address string, r Request) (*Answer, error) {
 	c, err := e.take(ctx, address, r.Fresh)
 	if err != nil {
-		return nil, &Failure{Stage: Unsent, Refused: ctx.Err() == nil, Cause: errors.Wrap(err, "connect")}
+		return nil, &Failure{Stage: Unsent, Cause: errors.Wrap(err, "connect")}
 	}
 	release := context.AfterFunc(ctx, c.close)
 	a, err := e.exchange(c, r)
@@ -211,9 +209,7 @@
 
 func head(r Request) []byte {
 	var b bytes.Buffer
-	h := *r.Head
-	h.Body, h.ContentLength, h.TransferEncoding = nil, 0, nil
-	writeHead(&b, &h, len(r.Body))
+	writeHead(&b, r.Head, len(r.Body))
 	return b.Bytes()
 }
 
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -143,13 +143,7 @@
 
 // judgeFailure tells what a call without an answer means.
 func (f *Forwarder) judgeFailure(ctx context.Context, j *job, err error, again bool) result {
-	var failure *exchanger.Failure
-	sent := !errors.As(err, &failure) || failure.Stage == exchanger.Sent
-	if sent {
-		j.record.calls++
-		j.ran = true
-	}
-	f.log.Info().Str("id", j.ID).Str("endpoint", j.record.endpoint).Bool("sent", sent).Err(err).Msg("forward: call failed")
+	sent := f.noteFailure(j, err)
 	switch {
 	case ctx.Err() != nil && (f.left(j) <= 0 || !again):
 		return over
@@ -160,6 +154,18 @@
 	}
 }
 
+// noteFailure records a call without an answer and tells whether the endpoint may have run the request.
+func (f *Forwarder) noteFailure(j *job, err error) (sent bool) {
+	var failure *exchanger.Failure
+	sent = !errors.As(err, &failure) || failure.Stage == exchanger.Sent
+	if sent {
+		j.record.calls++
+		j.ran = true
+	}
+	f.log.Info().Str("id", j.ID).Str("endpoint", j.record.endpoint).Bool("sent", sent).Err(err).Msg("forward: call failed")
+	return sent
+}
+
 // judgeReply tells what a reply means, and reads the body of one that is to be passed on.
 func (f *Forwarder) judgeReply(j *job, r *Reply, again bool) (result, []byte) {
 	j.record.calls++
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -5,10 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
-	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
@@ -28,7 +25,7 @@
 	// holdTTL is how long room is kept for a generation whose prompt is being read, holdTimeout bounds the asking.
 	holdTTL     = 1500 * time.Millisecond
 	holdTimeout = 400 * time.Millisecond
-	// freeTimeout bounds the freeing of a KV cache.
+	// freeTimeout bounds the freeing of a KV cache or a reservation.
 	freeTimeout = time.Second
 )
 
@@ -56,13 +53,7 @@
 // generate answers a request for a model service.
 func (f *Forwarder) generate(ctx context.Context, j *job) {
 	number, verdict := f.director.Place(ctx, f.ask(j))
-	j.record.waited = f.clock() - j.since
-	if verdict.Refused {
-		f.refuse(j, http.StatusServiceUnavailable, verdict.RetryAfter, "no room in time")
-		return
-	}
-	if verdict.Plan == nil {
-		f.timedOut(j, "left while waiting")
+	if !f.granted(j, verdict) {
 		return
 	}
 	g := &generation{job: j, number: number, plan: verdict.Plan, relay: newRelay(j.route.Resume)}
@@ -73,6 +64,19 @@
 	}
 }
 
+// granted tells whether a generation may start; otherwise it has been answered.
+func (f *Forwarder) granted(j *job, v planner.Verdict) bool {
+	j.record.waited = f.clock() - j.since
+	if v.Refused {
+		return f.refuse(j, http.StatusServiceUnavailable, v.RetryAfter, "no room in time")
+	}
+	if v.Plan == nil {
+		f.timedOut(j, "left while waiting")
+		return false
+	}
+	return true
+}
+
 // reserve keeps room at the decode endpoint before the prompt is read: other gateways may have filled it since they
 // were heard from last. Where it is full, the request waits for the next plan. It returns false after an answer.
 func (f *Forwarder) reserve(ctx context.Context, g *generation) bool {
@@ -88,12 +92,7 @@
 		}
 		f.reserveFailed(g, e, err)
 		verdict := f.director.Again(ctx, g.number)
-		g.record.waited = f.clock() - g.since
-		if verdict.Refused {
-			return f.refuse(g.job, http.StatusServiceUnavailable, verdict.RetryAfter, "no room in time")
-		}
-		if verdict.Plan == nil {
-			f.timedOut(g.job, "left while waiting")
+		if !f.granted(g.job, verdict) {
 			return false
 		}
 		g.plan = verdict.Plan
@@ -122,13 +121,7 @@
 	}
 	address, hold := g.heldAt.Address, g.hold
 	g.hold = ""
-	go f.runRelease(address, hold)
-}
-
-func (f *Forwarder) runRelease(address, hold string) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
-	defer cancel()
-	f.endpoints.Release(ctx, address, hold)
+	go runFree(f.endpoints.Release, address, hold)
 }
 
 // ask describes the request to the planner.
@@ -305,12 +298,8 @@
 
 func (f *Forwarder) decodeFailed(ctx context.Context, g *generation, err error) result {
 	e := g.plan.Decode
-	var failure *exchanger.Failure
-	sent := !errors.As(err, &failure) || failure.Stage == exchanger.Sent
-	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Bool("sent", sent).Err(err).Msg("forward: call failed")
+	sent := f.noteFailure(g.job, err)
 	if sent {
-		g.record.calls++
-		g.ran = true
 		g.source = ""
 	}
 	if ctx.Err() != nil {
@@ -385,11 +374,12 @@
 	f.Stats.Wasted.Add(1)
 	address, source := g.holder.Address, g.source
 	g.source = ""
-	go f.runFree(address, source)
+	go runFree(f.endpoints.Free, address, source)
 }
 
-func (f *Forwarder) runFree(address, source string) {
+// runFree gives up what an endpoint keeps, also when the request is over.
+func runFree(free func(ctx context.Context, address, name string), address, name string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	f.endpoints.Free(ctx, address, source)
+	free(ctx, address, name)
 }
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -120,8 +120,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.config = m
-	plans := make([]capper.Plan, 0, len(m.Accounts()))
-	for _, a := range m.Accounts() {
+	accounts := m.Accounts()
+	plans := make([]capper.Plan, 0, len(accounts))
+	for _, a := range accounts {
 		plans = append(plans, capper.Plan{Account: a.Name, Rate: a.Rate, Burst: a.Burst})
 	}
 	d.capper.Set(plans, d.clock())
@@ -255,22 +256,21 @@
 	d.mu.Lock()
 	d.next++
 	r.ID = d.next
-	done := make(chan planner.Verdict, 1)
-	d.waiting[r.ID] = done
-	d.deliver(d.planner.Submit(r, d.clock()))
-	if d.waiting[r.ID] != nil {
-		d.wakeUp()
-	}
 	d.mu.Unlock()
-	return r.ID, d.await(ctx, r.ID, done)
+	return r.ID, d.enter(ctx, r.ID, func(now time.Duration) []planner.Verdict { return d.planner.Submit(r, now) })
 }
 
 // Again waits for another plan for a generation whose decode endpoint turned out to be full, as Place does.
 func (d *Director) Again(ctx context.Context, id uint64) planner.Verdict {
-	d.mu.Lock()
+	return d.enter(ctx, id, func(now time.Duration) []planner.Verdict { return d.planner.Requeue(id, now) })
+}
+
+// enter hands a generation to the planner and waits for its verdict.
+func (d *Director) enter(ctx context.Context, id uint64, hand func(now time.Duration) []planner.Verdict) planner.Verdict {
 	done := make(chan planner.Verdict, 1)
+	d.mu.Lock()
 	d.waiting[id] = done
-	d.deliver(d.planner.Requeue(id, d.clock()))
+	d.deliver(hand(d.clock()))
 	if d.waiting[id] != nil {
 		d.wakeUp()
 	}
--- a/internal/routing/director/stages.go
+++ b/internal/routing/director/stages.go
@@ -27,7 +27,7 @@
 	addresses := make(map[string]string)
 	for _, e := range d.listed {
 		if e.Model && !e.Leaving {
-			byService[e.Service] = append(byService[e.Service], rebalancer.Endpoint{ID: e.ID, Service: e.Service, Domain: e.Domain, Prefill: e.Prefill})
+			byService[e.Service] = append(byService[e.Service], rebalancer.Endpoint{ID: e.ID, Domain: e.Domain, Prefill: e.Prefill})
 			addresses[e.ID] = e.Address
 		}
 	}
--- a/internal/routing/rebalancer/rebalancer.go
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -12,7 +12,6 @@
 // Endpoint is a model endpoint.
 type Endpoint struct {
 	ID      string
-	Service string
 	Domain  string
 	Prefill bool
 }
--- a/internal/routing/rebalancer/rebalancer_test.go
+++ b/internal/routing/rebalancer/rebalancer_test.go
@@ -13,7 +13,7 @@
 func fleet(prefill, decode int) []rebalancer.Endpoint {
 	var out []rebalancer.Endpoint
 	for i := range prefill + decode {
-		out = append(out, rebalancer.Endpoint{ID: fmt.Sprintf("e%02d", i), Service: "s", Domain: string(rune('a' + i%3)), Prefill: i < prefill})
+		out = append(out, rebalancer.Endpoint{ID: fmt.Sprintf("e%02d", i), Domain: string(rune('a' + i%3)), Prefill: i < prefill})
 	}
 	return out
 }
