--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -79,7 +79,7 @@
 	way := proxier.Fault(1 + i.rng.IntN(4))
 	answer := standin.Fault(1 + i.rng.IntN(int(standin.Silent)))
 	number := i.rng.IntN(1000)
-	switch i.rng.IntN(13) {
+	switch i.rng.IntN(16) {
 	case 0:
 		return func() error { return w.kill(g) }
 	case 1:
@@ -96,11 +96,11 @@
 		return w.compact
 	case 8:
 		return func() error { return w.cut(g, way, lasts) }
-	case 9:
+	case 9, 10:
 		return func() error { return w.harmWay(e, way, lasts) }
-	case 10:
+	case 11, 12, 13:
 		return func() error { return w.harmAnswers(e, answer) }
-	case 11:
+	case 14:
 		return func() error { return w.withdrawKey([]string{bigAccount, smallAccount}[number%2]) }
 	default:
 		return func() error { return w.replaceEndpoint(number) }
@@ -195,7 +195,7 @@
 // harmAnswers has an endpoint answer its next requests in a wrong way.
 func (w *world) harmAnswers(e *endpoint, f standin.Fault) error {
 	w.harmed("answers " + e.ID)()
-	e.Do(f, f, f)
+	e.Do(f, f, f, f, f, f)
 	return nil
 }
 
--- a/internal/soak/observer/observer.go
+++ b/internal/soak/observer/observer.go
@@ -220,7 +220,11 @@
 			"sent %v after the key was withdrawn, run by way of %s", r.Sent.Sub(at), r.Gateway)
 	}
 	at, leaving := o.history.Leaving[run.Endpoint]
-	if leaving && o.history.Calm(at, run.Began) {
+	since := r.Sent.Add(-o.history.Bounds.Drain)
+	if at.After(since) {
+		since = at
+	}
+	if leaving && o.history.Calm(since, run.Began) {
 		o.expect(!r.Sent.After(at.Add(o.history.Bounds.Drain)), "leaving endpoints", run.ID,
 			"%s began work %v after it was announced to leave", run.Endpoint, run.Began.Sub(at))
 	}
