--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -79,7 +79,7 @@
 	way := proxier.Fault(1 + i.rng.IntN(4))
 	answer := standin.Fault(1 + i.rng.IntN(int(standin.Silent)))
 	number := i.rng.IntN(1000)
-	switch i.rng.IntN(16) {
+	switch i.rng.IntN(18) {
 	case 0:
 		return func() error { return w.kill(g) }
 	case 1:
@@ -102,6 +102,8 @@
 		return func() error { return w.harmAnswers(e, answer) }
 	case 14:
 		return func() error { return w.withdrawKey([]string{bigAccount, smallAccount}[number%2]) }
+	case 15, 16:
+		return w.changeConfig
 	default:
 		return func() error { return w.replaceEndpoint(number) }
 	}
@@ -205,6 +207,14 @@
 	return nil
 }
 
+func (w *world) changeConfig() error {
+	w.harmed("config")()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configure()
+	return nil
+}
+
 func (w *world) replaceEndpoint(number int) error {
 	w.harmed("replace")()
 	return w.replace(number)
--- a/internal/soak/observer/observer.go
+++ b/internal/soak/observer/observer.go
@@ -200,7 +200,7 @@
 // checkStop looks for requests that an orderly end of their gateway cut off.
 func (o *Observer) checkStop(r *Request, run Run) {
 	for _, s := range o.history.Stops {
-		if s.Gateway != r.Gateway || r.Sent.Before(s.From) || r.Sent.After(s.To) || run.Harmed || !r.Left.IsZero() {
+		if s.Gateway != r.Gateway || r.Ended.Before(s.From) || r.Sent.After(s.To) || run.Harmed || !r.Left.IsZero() {
 			continue
 		}
 		o.expect(r.Status != 0, "orderly ends", r.ID, "cut off by the end of %s", r.Gateway)
