--- a/internal/routing/director/state.go
+++ b/internal/routing/director/state.go
@@ -180,5 +180,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.gateways, gateway)
+	d.planner.Left(gateway)
 	d.retrier.Share(len(d.gateways) + 1)
 }
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -35,25 +35,6 @@
 	Memory int
 }
 
-// Load is what one gateway has on an endpoint.
-type Load struct {
-	// Runs are the requests granted to a decode endpoint and not ended.
-	Runs []Run
-	// Backlog is the prompt tokens that a prefill endpoint has not read yet.
-	Backlog int
-	// Read is the latest prompt that the gateway had read there.
-	Read Sample
-	// Failure is the gateway's latest failure there. Worked is set where it has had a success there lately, and a failure
-	// is known; WorkedAge is the time since.
-	Failure   Failure
-	Worked    bool
-	WorkedAge time.Duration
-}
-
-func (l Load) empty() bool {
-	return len(l.Runs) == 0 && l.Backlog == 0 && l.Read.Number == 0 && l.Failure.Number == 0 && !l.Worked
-}
-
 // Request is a generation that asks for endpoints.
 type Request struct {
 	// ID is unique in this process and never zero.
@@ -130,11 +111,6 @@
 	gone bool
 }
 
-type peerLoad struct {
-	Load
-	at time.Duration
-}
-
 // job is a request that waits or runs.
 type job struct {
 	Request
@@ -195,66 +171,6 @@
 	sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
 }
 
-// Peer takes in what another gateway has on each endpoint.
-func (p *Planner) Peer(gateway string, loads map[string]Load, now time.Duration) {
-	for _, n := range p.order {
-		l := loads[n.ID]
-		if l.empty() {
-			delete(n.peers, gateway)
-			continue
-		}
-		p.hear(n, gateway, l, now)
-	}
-}
-
-func (p *Planner) hear(n *node, gateway string, l Load, now time.Duration) {
-	n.peers[gateway] = peerLoad{Load: l, at: now}
-	if l.Read.Number != 0 && l.Read.Number != n.heard[gateway] {
-		n.heard[gateway] = l.Read.Number
-		p.learn(n, l.Read)
-	}
-	n.hear(gateway, l, now, p.rand)
-}
-
-// PeerOn takes in what another gateway has on one endpoint.
-func (p *Planner) PeerOn(gateway, endpoint string, l Load, now time.Duration) {
-	if n, ok := p.nodes[endpoint]; ok {
-		p.hear(n, gateway, l, now)
-	}
-}
-
-// LoadOn returns what this gateway has on one endpoint.
-func (p *Planner) LoadOn(endpoint string, now time.Duration) Load {
-	n, ok := p.nodes[endpoint]
-	if !ok {
-		return Load{}
-	}
-	return p.load(n, now)
-}
-
-func (p *Planner) load(n *node, now time.Duration) Load {
-	l := Load{Backlog: max(0, min(n.backlog, int((n.readAt-now).Seconds()*n.readRate)))}
-	for _, r := range n.own {
-		l.Runs = append(l.Runs, r.at(now))
-	}
-	if now-n.readSeen < tellReadFor {
-		l.Read = n.read
-	}
-	n.tell(&l, now)
-	return l
-}
-
-// Loads returns what this gateway has on each endpoint, for the others.
-func (p *Planner) Loads(now time.Duration) map[string]Load {
-	out := make(map[string]Load)
-	for _, n := range p.order {
-		if l := p.load(n, now); !l.empty() {
-			out[n.ID] = l
-		}
-	}
-	return out
-}
-
 // Submit takes in a request. Without a plan and without a refusal it waits, and a later verdict follows.
 func (p *Planner) Submit(r Request, now time.Duration) []Verdict {
 	j := &job{Request: r, since: now, lane: scheduler.Interactive}
--- a/internal/routing/planner/planner_test.go
+++ b/internal/routing/planner/planner_test.go
@@ -86,6 +86,16 @@
 	}
 }
 
+func TestRunsOfGatewaysThatLeftTakeNoRoom(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.Set(endpoints(1, 1, 100000))
+	p.Peer("other", map[string]planner.Load{"e01": {Runs: make([]planner.Run, 12)}}, 0)
+	p.Left("other")
+	if v := p.Submit(ask(1, 0), 0); len(v) != 1 || v[0].Plan == nil {
+		t.Fatalf("got %+v, want a start", v)
+	}
+}
+
 func TestRunsOfGatewaysOutOfReachTakeRoom(t *testing.T) {
 	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
 	p.Set(endpoints(1, 1, 200000))
