Log when an endpoint is left alone for what gateways say of it, and when it works again

A belief that other gateways' messages change had no line; nothing in the decisions changes. Soak: wrong answers that no request has met by the end of the faults are dropped.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -53,6 +53,7 @@
 		}()
 	}
 	i.wait.Wait()
+	i.world.heal()
 	close(i.errs)
 	return <-i.errs
 }
@@ -201,6 +202,15 @@
 	return nil
 }
 
+// heal drops the wrong answers that no request has met yet.
+func (w *world) heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.endpoints {
+		e.Heal()
+	}
+}
+
 func (w *world) withdrawKey(account string) error {
 	w.harmed("revoke " + account)()
 	w.withdraw(account)
--- a/internal/process/edge/edge.go
+++ b/internal/process/edge/edge.go
@@ -155,7 +155,7 @@
 	e.director = director.New(director.Parts{
 		Clock: clock.Boot, Tracker: e.tracker, Planner: planner.New(planOptions(o.Domain), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), Balancer: balancer.New(o.Domain),
 		Capper: capper.New(o.Limits, clock.Boot()), Retrier: retrier.New(o.Repeat), Balance: rebalancer.New(balanceOptions()),
-		Blamer: blamer.New(poisonWindow, poisonLimit),
+		Blamer: blamer.New(poisonWindow, poisonLimit), Log: logger,
 	})
 	revoke := o.Revoke - revokeMargin
 	e.forwarder = forwarder.New(forwarder.Options{Revoke: revoke, Doubt: doubtAge, Leave: leaveLeast}, clock.Boot, e.tracker, e.director, s.Endpoints, logger)
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
 	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
@@ -47,12 +49,14 @@
 	Retrier  *retrier.Retrier
 	Balance  *rebalancer.Rebalancer
 	Blamer   *blamer.Blamer
+	Log      *log.Logger
 }
 
 // Director is safe for concurrent use.
 type Director struct {
 	clock   clock.Clock
 	tracker *tracker.Tracker
+	log     *log.Logger
 
 	mu       sync.Mutex
 	planner  *planner.Planner
@@ -81,6 +85,7 @@
 func New(p Parts) *Director {
 	return &Director{
 		clock: p.Clock, tracker: p.Tracker, planner: p.Planner, balancer: p.Balancer, capper: p.Capper, retrier: p.Retrier, balance: p.Balance, blamer: p.Blamer,
+		log:     p.Log,
 		waiting: map[uint64]chan planner.Verdict{}, gateways: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -324,12 +329,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.deliver(change(d.planner, d.clock()))
+	d.noteDoubts("own call")
+}
+
+// noteDoubts writes a line for each endpoint that is now left alone, or used again. The lock must be held.
+func (d *Director) noteDoubts(from string) {
+	for _, doubt := range d.planner.Doubts() {
+		if doubt.Failures == 0 {
+			d.log.Info().Str("endpoint", doubt.Endpoint).Str("from", from).Msg("endpoint: works again")
+			continue
+		}
+		d.log.Info().Str("endpoint", doubt.Endpoint).Str("from", from).Int("failures", doubt.Failures).
+			Int64("leave_ms", doubt.Leave.Milliseconds()).Msg("endpoint: left alone")
+	}
 }
 
 // Failed records that a model endpoint failed, and tells the other gateways, so that not each has to find out.
 func (d *Director) Failed(endpoint string) {
 	d.mu.Lock()
 	d.planner.Failed(endpoint, d.clock())
+	d.noteDoubts("own call")
 	d.mu.Unlock()
 	d.announce(endpoint)
 }
--- a/internal/routing/planner/health.go
+++ b/internal/routing/planner/health.go
@@ -1,9 +1,6 @@
 package planner
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 const (
 	// fullFor is how long an endpoint that refused a request counts as full.
@@ -67,7 +64,7 @@
 	n.failures++
 	n.number++
 	n.failedAt = now
-	n.failed(now, p.rand)
+	p.suspect(n, now, now)
 }
 
 // Worked records that an endpoint answered as it should.
@@ -77,7 +74,7 @@
 		return
 	}
 	n.failures, n.ejectedUntil, n.workedAt = 0, 0, now
-	n.worked(now)
+	p.trust(n, now)
 }
 
 // backoff is how long an endpoint is left alone after so many failures in a row.
@@ -85,35 +82,59 @@
 	return min(ejectMost, ejectLeast<<min(failures-1, 4))
 }
 
-// failed takes in a failure that any gateway has seen. The end of the suspicion differs by gateway, so that one finds
+// Doubt is a change of mind about an endpoint for what gateways say of it.
+type Doubt struct {
+	Endpoint string
+	// Failures is how many there were in a row, of all gateways; zero where the endpoint works again.
+	Failures int
+	// Leave is how long it is left alone.
+	Leave time.Duration
+}
+
+// Doubts returns the changes of mind since the last call.
+func (p *Planner) Doubts() []Doubt {
+	out := p.doubts
+	p.doubts = nil
+	return out
+}
+
+// suspect takes in a failure that any gateway has seen. The end of the suspicion differs by gateway, so that one finds
 // out for all whether the endpoint works again.
-func (h *health) failed(at time.Duration, r *rand.Rand) {
-	h.row++
-	h.latest = max(h.latest, at)
-	if h.row < suspectAfter {
+func (p *Planner) suspect(n *node, at, now time.Duration) {
+	n.row++
+	n.latest = max(n.latest, at)
+	if n.row < suspectAfter {
 		return
 	}
-	leave := backoff(h.row)
-	h.suspectUntil = max(h.suspectUntil, at+leave+time.Duration(r.Int64N(int64(leave))))
+	leave := backoff(n.row)
+	leave += time.Duration(p.rand.Int64N(int64(leave)))
+	if now >= n.suspectUntil {
+		p.doubts = append(p.doubts, Doubt{Endpoint: n.ID, Failures: n.row, Leave: leave})
+	}
+	n.suspectUntil = max(n.suspectUntil, at+leave)
 }
 
-// worked takes in a success that any gateway has seen.
-func (h *health) worked(at time.Duration) {
-	if at > h.latest {
-		h.row, h.suspectUntil = 0, 0
+// trust takes in a success that any gateway has seen.
+func (p *Planner) trust(n *node, at time.Duration) {
+	if at <= n.latest {
+		return
+	}
+	if n.onTrial() {
+		p.doubts = append(p.doubts, Doubt{Endpoint: n.ID})
 	}
+	n.row, n.suspectUntil = 0, 0
 }
 
-// hear takes in what another gateway tells.
-func (h *health) hear(gateway string, l Load, now time.Duration, r *rand.Rand) {
+// hearHealth takes in what another gateway tells.
+func (p *Planner) hearHealth(n *node, gateway string, l Load, now time.Duration) {
 	if l.Worked {
-		h.worked(now - l.WorkedAge)
+		p.trust(n, now-l.WorkedAge)
 	}
-	if l.Failure.Number == 0 || l.Failure.Number == h.told[gateway] {
+	if l.Failure.Number == 0 || l.Failure.Number == n.told[gateway] {
 		return
 	}
-	h.told[gateway] = l.Failure.Number
-	h.failed(now-l.Failure.Age, r)
+	n.told[gateway] = l.Failure.Number
+	p.suspect(n, now-l.Failure.Age, now)
 }
 
 // tell adds to a load what the other gateways should know.
--- a/internal/routing/planner/load.go
+++ b/internal/routing/planner/load.go
@@ -44,7 +44,7 @@
 		n.heard[gateway] = l.Read.Number
 		p.learn(n, l.Read)
 	}
-	n.hear(gateway, l, now, p.rand)
+	p.hearHealth(n, gateway, l, now)
 }
 
 // PeerOn takes in what another gateway has on one endpoint.
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -137,6 +137,7 @@
 	startsAt time.Duration
 	scratch  []Run
 	choice   []candidate
+	doubts   []Doubt
 }
 
 // New returns a planner without endpoints; r draws among endpoints that are about as good.
--- a/internal/routing/planner/planner_test.go
+++ b/internal/routing/planner/planner_test.go
@@ -241,3 +241,21 @@
 		p.End(id, 0)
 	}
 }
+
+func TestChangesOfMindAboutEndpointsAreTold(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.Set(endpoints(1, 4, 100000))
+	for _, gateway := range []string{"a", "b"} {
+		p.PeerOn(gateway, "e01", planner.Load{Failure: planner.Failure{Number: 1}}, 0)
+	}
+	if d := p.Doubts(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 2 || d[0].Leave <= 0 {
+		t.Errorf("got %+v after two failures, want one change of mind about e01", d)
+	}
+	p.Worked("e01", time.Second)
+	if d := p.Doubts(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 0 {
+		t.Errorf("got %+v after a success, want that e01 works again", d)
+	}
+	if d := p.Doubts(); len(d) != 0 {
+		t.Errorf("got %+v again", d)
+	}
+}
