Tell the success that ends a doubt about an endpoint

Cause, found when the diff was read: a gateway's own success ended its doubt before the success was told, so that each of thirty gateways had to find out by itself that an endpoint works again, one request at a time over all of them. Test with two planners: fails before, passes after.

--- a/internal/routing/planner/health.go
+++ b/internal/routing/planner/health.go
@@ -34,10 +34,10 @@
 	// failures counts own failures in a row, row those of all gateways.
 	failures int
 	row      int
-	// number and failedAt are of the latest own failure, workedAt of the latest own success.
-	number   uint64
-	failedAt time.Duration
-	workedAt time.Duration
+	// number and failedAt are of the latest own failure, recoveredAt of the first own success after a failure.
+	number      uint64
+	failedAt    time.Duration
+	recoveredAt time.Duration
 	// latest is the time of the latest failure of any gateway, told the numbers of those heard of.
 	latest time.Duration
 	told   map[string]uint64
@@ -73,7 +73,10 @@
 	if !ok {
 		return
 	}
-	n.failures, n.ejectedUntil, n.workedAt = 0, 0, now
+	n.failures, n.ejectedUntil = 0, 0
+	if n.row > 0 {
+		n.recoveredAt = now
+	}
 	p.trust(n, now)
 }
 
@@ -142,8 +145,8 @@
 	if h.number != 0 && now-h.failedAt < tellFailureFor {
 		l.Failure = Failure{Number: h.number, Age: now - h.failedAt}
 	}
-	if h.row > 0 && h.workedAt > 0 && now-h.workedAt < tellFailureFor {
-		l.Worked, l.WorkedAge = true, now-h.workedAt
+	if h.recoveredAt > h.latest && now-h.recoveredAt < tellFailureFor {
+		l.Worked, l.WorkedAge = true, now-h.recoveredAt
 	}
 }
 
--- a/internal/routing/planner/planner_test.go
+++ b/internal/routing/planner/planner_test.go
@@ -259,3 +259,21 @@
 		t.Errorf("got %+v again", d)
 	}
 }
+
+// Each gateway had to find out by itself that an endpoint works again, one request at a time.
+func TestOneGatewaysSuccessEndsTheOthersDoubts(t *testing.T) {
+	a := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	b := planner.New(options, rand.New(rand.NewPCG(1, 2)))
+	for _, p := range []*planner.Planner{a, b} {
+		p.Set(endpoints(1, 4, 100000))
+		for number := range uint64(3) {
+			p.PeerOn("c", "e01", planner.Load{Failure: planner.Failure{Number: number + 1}}, 0)
+		}
+		p.Doubts()
+	}
+	a.Worked("e01", time.Second)
+	b.Peer("a", a.Loads(1100*time.Millisecond), 1100*time.Millisecond)
+	if d := b.Doubts(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 0 {
+		t.Errorf("got %+v, want that e01 works again", d)
+	}
+}
