--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -17,8 +17,8 @@
 	restartAfter = 300 * time.Millisecond
 	// again is the pause in a series of the same fault.
 	again = 500 * time.Millisecond
-	// harmMost is the longest time of a fault that lasts.
-	harmMost = 5 * time.Second
+	// faultMost is the longest time of a fault that lasts.
+	faultMost = 5 * time.Second
 )
 
 // injector plays a seeded schedule of faults.
@@ -76,8 +76,8 @@
 	w := i.world
 	g := w.gateways[i.rng.IntN(len(w.gateways))]
 	e := w.endpoints[i.rng.IntN(len(w.endpoints))]
-	lasts := 200*time.Millisecond + time.Duration(i.rng.Int64N(int64(harmMost)))
-	way := proxier.Fault(1 + i.rng.IntN(4))
+	lasts := 200*time.Millisecond + time.Duration(i.rng.Int64N(int64(faultMost)))
+	network := proxier.Fault(1 + i.rng.IntN(4))
 	answer := standin.Fault(1 + i.rng.IntN(int(standin.Silent)))
 	number := i.rng.IntN(1000)
 	switch i.rng.IntN(18) {
@@ -96,11 +96,11 @@
 	case 7:
 		return w.compact
 	case 8:
-		return func() error { return w.cut(g, way, lasts) }
+		return func() error { return w.cut(g, network, lasts) }
 	case 9, 10:
-		return func() error { return w.harmWay(e, way, lasts) }
+		return func() error { return w.disruptPath(e, network, lasts) }
 	case 11, 12, 13:
-		return func() error { return w.harmAnswers(e, answer) }
+		return func() error { return w.corruptAnswers(e, answer) }
 	case 14:
 		return func() error { return w.withdrawKey([]string{bigAccount, smallAccount}[number%2]) }
 	case 15, 16:
@@ -111,14 +111,14 @@
 }
 
 func (w *world) kill(g *gateway) error {
-	defer w.harmed("kill " + g.name)()
+	defer w.disrupted("kill " + g.name)()
 	g.process.Kill()
 	time.Sleep(restartAfter)
 	return g.process.Start()
 }
 
 func (w *world) killAll() error {
-	defer w.harmed("kill all")()
+	defer w.disrupted("kill all")()
 	for _, g := range w.gateways {
 		g.process.Signal(syscall.SIGKILL)
 	}
@@ -136,7 +136,7 @@
 
 // terminate ends a gateway in an orderly way and starts it again.
 func (w *world) terminate(g *gateway) error {
-	defer w.harmed("term " + g.name)()
+	defer w.disrupted("term " + g.name)()
 	s := observer.Stop{Gateway: g.name, From: time.Now()}
 	clean := g.process.Terminate(drainGrace)
 	s.To = time.Now()
@@ -150,7 +150,7 @@
 
 // pause stops a gateway in the middle of all it does.
 func (w *world) pause(g *gateway, lasts time.Duration) error {
-	defer w.harmed("pause " + g.name)()
+	defer w.disrupted("pause " + g.name)()
 	g.process.Signal(syscall.SIGSTOP)
 	time.Sleep(lasts)
 	g.process.Signal(syscall.SIGCONT)
@@ -158,13 +158,13 @@
 }
 
 func (w *world) hangUp(g *gateway) error {
-	w.harmed("hup " + g.name)()
+	w.disrupted("hup " + g.name)()
 	g.process.Signal(syscall.SIGHUP)
 	return nil
 }
 
 func (w *world) storeDown(lasts time.Duration) error {
-	defer w.harmed("store down")()
+	defer w.disrupted("store down")()
 	w.store.SetDown(true)
 	time.Sleep(lasts)
 	w.store.SetDown(false)
@@ -172,32 +172,32 @@
 }
 
 func (w *world) compact() error {
-	w.harmed("compact")()
+	w.disrupted("compact")()
 	w.store.Compact()
 	return nil
 }
 
-// cut harms a gateway's way to the store.
+// cut disrupts a gateway's path to the store.
 func (w *world) cut(g *gateway, f proxier.Fault, lasts time.Duration) error {
-	defer w.harmed(fmt.Sprintf("cut %s %v", g.name, f))()
+	defer w.disrupted(fmt.Sprintf("cut %s %v", g.name, f))()
 	g.store.Set(f)
 	time.Sleep(lasts)
 	g.store.Set(proxier.None)
 	return nil
 }
 
-// harmWay harms the way of all gateways to an endpoint.
-func (w *world) harmWay(e *endpoint, f proxier.Fault, lasts time.Duration) error {
-	defer w.harmed("way " + e.ID)()
-	e.way.Set(f)
+// disruptPath disrupts the path of all gateways to an endpoint.
+func (w *world) disruptPath(e *endpoint, f proxier.Fault, lasts time.Duration) error {
+	defer w.disrupted("path " + e.ID)()
+	e.path.Set(f)
 	time.Sleep(lasts)
-	e.way.Set(proxier.None)
+	e.path.Set(proxier.None)
 	return nil
 }
 
-// harmAnswers has an endpoint answer its next requests in a wrong way.
-func (w *world) harmAnswers(e *endpoint, f standin.Fault) error {
-	w.harmed("answers " + e.ID)()
+// corruptAnswers has an endpoint answer its next requests in a wrong way.
+func (w *world) corruptAnswers(e *endpoint, f standin.Fault) error {
+	w.disrupted("answers " + e.ID)()
 	e.Do(f, f, f, f, f, f)
 	return nil
 }
@@ -212,13 +212,13 @@
 }
 
 func (w *world) withdrawKey(account string) error {
-	w.harmed("revoke " + account)()
+	w.disrupted("revoke " + account)()
 	w.withdraw(account)
 	return nil
 }
 
 func (w *world) changeConfig() error {
-	w.harmed("config")()
+	w.disrupted("config")()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.configure()
@@ -226,6 +226,6 @@
 }
 
 func (w *world) replaceEndpoint(number int) error {
-	w.harmed("replace")()
+	w.disrupted("replace")()
 	return w.replace(number)
 }
--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -31,7 +31,7 @@
 	smallBurst   = 400.0
 	// contact is the calm that a gateway needs before promises to gateways in touch hold again.
 	contact = 3 * time.Second
-	// recovery is the time after all harm in which the system must serve everything again.
+	// recovery is the time after the last fault in which the system must serve everything again.
 	recovery = 12 * time.Second
 	// drainGrace is the time from SIGTERM to SIGKILL.
 	drainGrace = 8 * time.Second
@@ -55,7 +55,7 @@
 	RepeatRatio: 0.2, RepeatExtra: 52, RepeatWindow: 10 * time.Second,
 }
 
-// gateway is one process of the system and its own way to the store.
+// gateway is one process of the system and its own path to the store.
 type gateway struct {
 	name    string
 	address string
@@ -65,15 +65,15 @@
 	ready bool
 }
 
-// endpoint is a stand-in and the way to it.
+// endpoint is a stand-in and the path to it.
 type endpoint struct {
 	*standin.Endpoint
-	way  *proxier.Proxier
+	path *proxier.Proxier
 	left bool
 }
 
-// harm is a time in which something was harmed; to is zero while it goes on.
-type harm struct {
+// disruption is a time in which a fault was in force; to is zero while it goes on.
+type disruption struct {
 	what     string
 	from, to time.Time
 }
@@ -86,23 +86,23 @@
 	store    *standin.Store
 	gateways []*gateway
 
-	mu        sync.Mutex
-	endpoints []*endpoint
-	version   int
-	keys      map[string][]string
-	nextKey   int
-	harms     []*harm
-	requests  []observer.Request
-	withdrawn map[string]time.Time
-	leaving   map[string]time.Time
-	stops     []observer.Stop
-	injected  map[string]int
+	mu          sync.Mutex
+	endpoints   []*endpoint
+	version     int
+	keys        map[string][]string
+	nextKey     int
+	disruptions []*disruption
+	requests    []observer.Request
+	withdrawn   map[string]time.Time
+	leaving     map[string]time.Time
+	stops       []observer.Stop
+	injected    map[string]int
 }
 
 // newWorld starts stand-ins and gateways; slot keeps the addresses of worlds of one time apart.
 func newWorld(program, dir string, seed uint64, slot, gateways int) (*world, error) {
 	w := &world{
-		dir: dir, log: &log.Logger{Writer: &log.FileWriter{Filename: filepath.Join(dir, "harms.log")}}, rng: rand.New(rand.NewPCG(seed, 7)), store: standin.NewStore(), keys: map[string][]string{}, //nolint:gosec // a seeded test
+		dir: dir, log: &log.Logger{Writer: &log.FileWriter{Filename: filepath.Join(dir, "faults.log")}}, rng: rand.New(rand.NewPCG(seed, 7)), store: standin.NewStore(), keys: map[string][]string{}, //nolint:gosec // a seeded test
 		withdrawn: map[string]time.Time{}, leaving: map[string]time.Time{}, injected: map[string]int{},
 	}
 	for _, account := range []string{bigAccount, smallAccount} {
@@ -127,15 +127,29 @@
 func (w *world) addGateway(program string, slot, i int) error {
 	ip := fmt.Sprintf("127.%d.0.%d", 20+slot, i+1)
 	name := fmt.Sprintf("g%d", i)
-	way, err := proxier.New(w.store.Address())
+	store, err := proxier.New(w.store.Address())
 	if err != nil {
 		return err
 	}
-	settings, err := json.Marshal(map[string]any{
-		"node": name, "ip": ip, "zone": string(rune('a' + i%3)),
+	settings, err := w.writeSettings(name, ip, string(rune('a'+i%3)), store.Address(), slot)
+	if err != nil {
+		return err
+	}
+	process := launcher.New(launcher.Program{
+		Path: program, Arguments: []string{"edge"}, Environment: []string{platform.SettingsVariable + "=" + settings},
+		Log: filepath.Join(w.dir, name+".log"),
+	})
+	w.gateways = append(w.gateways, &gateway{name: name, address: ip, process: process, store: store})
+	return process.Start()
+}
+
+// writeSettings writes the settings file of a gateway and returns its path.
+func (w *world) writeSettings(name, ip, domain, store string, slot int) (string, error) {
+	content, err := json.Marshal(map[string]any{
+		"node": name, "ip": ip, "zone": domain,
 		"listen":     map[string]string{"front": ip + ":8360", "ready": ip + ":8365", "control": ip + ":8367"},
 		"port_range": []int{7500, 7515}, "seed_addrs": []string{fmt.Sprintf("127.%d.0.1:8367", 20+slot), fmt.Sprintf("127.%d.0.2:8367", 20+slot)},
-		"limits": map[string]any{"memory_mb": 128}, "platform": map[string]any{"address": way.Address()},
+		"limits": map[string]any{"memory_mb": 128}, "platform": map[string]any{"address": store},
 		"bounds": map[string]any{
 			"drain_grace_s": drainGrace.Seconds(), "revoke_deadline_ms": bounds.Revoke.Milliseconds(),
 			"retry_budget_ratio": bounds.RepeatRatio, "budget_extra": bounds.RepeatExtra, "budget_window_s": bounds.RepeatWindow.Seconds(),
@@ -143,18 +157,10 @@
 		},
 	})
 	if err != nil {
-		return errors.Wrap(err, "write settings")
+		return "", errors.Wrap(err, "encode settings")
 	}
 	path := filepath.Join(w.dir, name+".json")
-	if err := os.WriteFile(path, settings, 0o600); err != nil {
-		return errors.Wrap(err, "write settings")
-	}
-	process := launcher.New(launcher.Program{
-		Path: program, Arguments: []string{"edge"}, Environment: []string{platform.SettingsVariable + "=" + path},
-		Log: filepath.Join(w.dir, name+".log"),
-	})
-	w.gateways = append(w.gateways, &gateway{name: name, address: ip, process: process, store: way})
-	return process.Start()
+	return path, errors.Wrap(os.WriteFile(path, content, 0o600), "write settings")
 }
 
 func (w *world) addEndpoint(id, stage string) error {
@@ -166,13 +172,13 @@
 	if err != nil {
 		return errors.Wrap(err, "start endpoint")
 	}
-	way, err := proxier.New(e.Address())
+	path, err := proxier.New(e.Address())
 	if err != nil {
 		return err
 	}
-	e.Named, e.Front, e.Events, e.Pause, e.Work = true, way.Address(), eventsEach, 20*time.Millisecond, 20*time.Millisecond
+	e.Named, e.Front, e.Events, e.Pause, e.Work = true, path.Address(), eventsEach, 20*time.Millisecond, 20*time.Millisecond
 	w.mu.Lock()
-	w.endpoints = append(w.endpoints, &endpoint{Endpoint: e, way: way})
+	w.endpoints = append(w.endpoints, &endpoint{Endpoint: e, path: path})
 	w.mu.Unlock()
 	w.store.Put(e.Entry("ready"))
 	return nil
@@ -271,26 +277,26 @@
 	return nil
 }
 
-// harmed notes that something is harmed from now on; the returned function ends it.
-func (w *world) harmed(what string) (end func()) {
-	h := &harm{what: what, from: time.Now()}
+// disrupted notes that a fault is in force from now on; the returned function ends it.
+func (w *world) disrupted(what string) (end func()) {
+	h := &disruption{what: what, from: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.harms = append(w.harms, h)
+	w.disruptions = append(w.disruptions, h)
 	verb, _, _ := strings.Cut(what, " ")
 	w.injected[verb]++
-	w.log.Info().Str("harm", what).Msg("begins")
+	w.log.Info().Str("fault", what).Msg("begins")
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		h.to = time.Now()
-		w.log.Info().Str("harm", what).Msg("ends")
+		w.log.Info().Str("fault", what).Msg("ends")
 	}
 }
 
-// calm tells whether nothing that matches was harmed from one time to another.
+// calm tells whether no fault that matches was in force from one time to another.
 func (w *world) calm(from, to time.Time, matches func(what string) bool) bool {
-	for _, h := range w.harms {
+	for _, h := range w.disruptions {
 		if matches(h.what) && h.from.Before(to) && (h.to.IsZero() || h.to.After(from)) {
 			return false
 		}
@@ -396,15 +402,15 @@
 			}
 			h.Runs = append(h.Runs, observer.Run{
 				ID: r.ID, Account: r.Account, Endpoint: e.ID, Began: r.Began, Ended: r.Ended,
-				Harmed:  (!r.Whole && !r.Gone) || !w.calm(r.Began, ended, func(what string) bool { return what == "way "+e.ID }),
-				KeySeen: r.Header.Get(keyHeader) != "",
+				Disrupted: (!r.Whole && !r.Gone) || !w.calm(r.Began, ended, func(what string) bool { return what == "path "+e.ID }),
+				KeySeen:   r.Header.Get(keyHeader) != "",
 			})
 		}
 	}
 	return h
 }
 
-// endsBadly tells whether a harm excuses a gateway from an orderly end.
+// endsBadly tells whether a fault excuses a gateway from an orderly end.
 func endsBadly(what, gateway string) bool {
 	verb, rest, _ := strings.Cut(what, " ")
 	switch verb {
@@ -423,7 +429,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, e := range w.endpoints {
-		e.way.Close()
+		e.path.Close()
 		e.Close()
 	}
 	w.store.Close()
--- a/internal/routing/director/director.go
+++ b/internal/routing/director/director.go
@@ -329,18 +329,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.deliver(change(d.planner, d.clock()))
-	d.noteDoubts("own call")
+	d.logSuspicions("own call")
 }
 
-// noteDoubts writes a line for each endpoint that is now left alone, or used again. The lock must be held.
-func (d *Director) noteDoubts(from string) {
-	for _, doubt := range d.planner.Doubts() {
-		if doubt.Failures == 0 {
-			d.log.Info().Str("endpoint", doubt.Endpoint).Str("from", from).Msg("endpoint: works again")
+// logSuspicions writes a line for each endpoint that is now left alone, or used again. The lock must be held.
+func (d *Director) logSuspicions(from string) {
+	for _, s := range d.planner.Suspicions() {
+		if s.Failures == 0 {
+			d.log.Info().Str("endpoint", s.Endpoint).Str("from", from).Msg("endpoint: restored")
 			continue
 		}
-		d.log.Info().Str("endpoint", doubt.Endpoint).Str("from", from).Int("failures", doubt.Failures).
-			Int64("leave_ms", doubt.Leave.Milliseconds()).Msg("endpoint: left alone")
+		d.log.Info().Str("endpoint", s.Endpoint).Str("from", from).Int("failures", s.Failures).
+			Int64("for_ms", s.For.Milliseconds()).Msg("endpoint: ejected")
 	}
 }
 
@@ -348,7 +348,7 @@
 func (d *Director) Failed(endpoint string) {
 	d.mu.Lock()
 	d.planner.Failed(endpoint, d.clock())
-	d.noteDoubts("own call")
+	d.logSuspicions("own call")
 	d.mu.Unlock()
 	d.announce(endpoint)
 }
--- a/internal/routing/director/state.go
+++ b/internal/routing/director/state.go
@@ -93,7 +93,7 @@
 		for _, l := range m.Loads {
 			d.planner.PeerOn(m.From, l.Endpoint, decodeLoad(l), now)
 		}
-		d.noteDoubts(m.From)
+		d.logSuspicions(m.From)
 		return
 	}
 	if !d.gateways[m.From] {
@@ -109,7 +109,7 @@
 		loads[l.Endpoint] = decodeLoad(l)
 	}
 	d.planner.Peer(m.From, loads, now)
-	d.noteDoubts(m.From)
+	d.logSuspicions(m.From)
 	for id, h := range m.Held {
 		d.balancer.Hear(id, int(h[0]), now-time.Duration(h[1])*time.Millisecond)
 	}
--- a/internal/routing/planner/health.go
+++ b/internal/routing/planner/health.go
@@ -85,19 +85,19 @@
 	return min(ejectMost, ejectLeast<<min(failures-1, 4))
 }
 
-// Doubt is a change of mind about an endpoint for what gateways say of it.
-type Doubt struct {
+// Suspicion is a change of what is believed of an endpoint for what gateways report of it.
+type Suspicion struct {
 	Endpoint string
 	// Failures is how many there were in a row, of all gateways; zero where the endpoint works again.
 	Failures int
-	// Leave is how long it is left alone.
-	Leave time.Duration
+	// For is how long it is left alone.
+	For time.Duration
 }
 
-// Doubts returns the changes of mind since the last call.
-func (p *Planner) Doubts() []Doubt {
-	out := p.doubts
-	p.doubts = nil
+// Suspicions returns the changes since the last call.
+func (p *Planner) Suspicions() []Suspicion {
+	out := p.suspicions
+	p.suspicions = nil
 	return out
 }
 
@@ -112,7 +112,7 @@
 	leave := backoff(n.row)
 	leave += time.Duration(p.rand.Int64N(int64(leave)))
 	if now >= n.suspectUntil {
-		p.doubts = append(p.doubts, Doubt{Endpoint: n.ID, Failures: n.row, Leave: leave})
+		p.suspicions = append(p.suspicions, Suspicion{Endpoint: n.ID, Failures: n.row, For: leave})
 	}
 	n.suspectUntil = max(n.suspectUntil, at+leave)
 }
@@ -122,8 +122,8 @@
 	if at <= n.latest {
 		return
 	}
-	if n.onTrial() {
-		p.doubts = append(p.doubts, Doubt{Endpoint: n.ID})
+	if n.halfOpen() {
+		p.suspicions = append(p.suspicions, Suspicion{Endpoint: n.ID})
 	}
 	n.row, n.suspectUntil = 0, 0
 }
@@ -154,15 +154,15 @@
 	return !n.gone && now >= n.fullUntil && now >= n.ejectedUntil
 }
 
-// onTrial tells whether the endpoint has failed again and again and not worked since: one request at a time shows whether
+// halfOpen tells whether the endpoint has failed again and again and not worked since: one request at a time shows whether
 // it does again.
-func (h *health) onTrial() bool {
+func (h *health) halfOpen() bool {
 	return h.row >= suspectAfter
 }
 
-// doubtful tells whether an endpoint with or without other work is left alone for what the other gateways say.
-func (h *health) doubtful(busy bool, now time.Duration) bool {
-	return now < h.suspectUntil || (busy && h.onTrial())
+// avoided tells whether an endpoint with or without other work is left alone for what the other gateways say.
+func (h *health) avoided(busy bool, now time.Duration) bool {
+	return now < h.suspectUntil || (busy && h.halfOpen())
 }
 
 // trusted tells whether suspicions about the endpoints of a service and stage are to be believed: not where most are
--- a/internal/routing/planner/place.go
+++ b/internal/routing/planner/place.go
@@ -26,7 +26,7 @@
 	if decode == nil {
 		return nil
 	}
-	plan := &Plan{Decode: copyOf(decode), Tight: load > tightShare || decode.onTrial()}
+	plan := &Plan{Decode: copyOf(decode), Tight: load > tightShare || decode.halfOpen()}
 	prefill, wait := p.pickPrefill(j, decode.Domain, "", now)
 	if prefill == nil {
 		// Without a prefill endpoint the decode endpoint reads the prompt itself.
@@ -54,7 +54,7 @@
 		}
 		runs, peak := p.used(n, j, now)
 		full := float64(peak) > p.options.MemoryShare*float64(n.Memory)
-		if runs >= n.Slots || (full && runs > 0) || (believe && n.doubtful(runs > 0, now)) {
+		if runs >= n.Slots || (full && runs > 0) || (believe && n.avoided(runs > 0, now)) {
 			continue
 		}
 		score := max(float64(runs)/float64(n.Slots), float64(peak)/float64(n.Memory))
@@ -90,7 +90,7 @@
 			continue
 		}
 		w := p.readWait(n, now)
-		if believe && n.doubtful(w > 0, now) {
+		if believe && n.avoided(w > 0, now) {
 			continue
 		}
 		cost := w + n.readTime(j.Prompt)
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -133,11 +133,11 @@
 	queues     map[string]*scheduler.Scheduler[*job]
 	jobs       map[uint64]*job
 	// starts is a decaying count of own starts, of the time at startsAt.
-	starts   float64
-	startsAt time.Duration
-	scratch  []Run
-	choice   []candidate
-	doubts   []Doubt
+	starts     float64
+	startsAt   time.Duration
+	scratch    []Run
+	choice     []candidate
+	suspicions []Suspicion
 }
 
 // New returns a planner without endpoints; r draws among endpoints that are about as good.
--- a/internal/routing/planner/planner_test.go
+++ b/internal/routing/planner/planner_test.go
@@ -242,26 +242,26 @@
 	}
 }
 
-func TestChangesOfMindAboutEndpointsAreTold(t *testing.T) {
+func TestSuspicionsAreReported(t *testing.T) {
 	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
 	p.Set(endpoints(1, 4, 100000))
 	for _, gateway := range []string{"a", "b"} {
 		p.PeerOn(gateway, "e01", planner.Load{Failure: planner.Failure{Number: 1}}, 0)
 	}
-	if d := p.Doubts(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 2 || d[0].Leave <= 0 {
-		t.Errorf("got %+v after two failures, want one change of mind about e01", d)
+	if d := p.Suspicions(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 2 || d[0].For <= 0 {
+		t.Errorf("got %+v after two failures, want one suspicion of e01", d)
 	}
 	p.Worked("e01", time.Second)
-	if d := p.Doubts(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 0 {
+	if d := p.Suspicions(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 0 {
 		t.Errorf("got %+v after a success, want that e01 works again", d)
 	}
-	if d := p.Doubts(); len(d) != 0 {
+	if d := p.Suspicions(); len(d) != 0 {
 		t.Errorf("got %+v again", d)
 	}
 }
 
 // Each gateway had to find out by itself that an endpoint works again, one request at a time.
-func TestOneGatewaysSuccessEndsTheOthersDoubts(t *testing.T) {
+func TestOneGatewaysSuccessEndsTheOthersSuspicions(t *testing.T) {
 	a := planner.New(options, rand.New(rand.NewPCG(1, 1)))
 	b := planner.New(options, rand.New(rand.NewPCG(1, 2)))
 	for _, p := range []*planner.Planner{a, b} {
@@ -269,11 +269,11 @@
 		for number := range uint64(3) {
 			p.PeerOn("c", "e01", planner.Load{Failure: planner.Failure{Number: number + 1}}, 0)
 		}
-		p.Doubts()
+		p.Suspicions()
 	}
 	a.Worked("e01", time.Second)
 	b.Peer("a", a.Loads(1100*time.Millisecond), 1100*time.Millisecond)
-	if d := b.Doubts(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 0 {
+	if d := b.Suspicions(); len(d) != 1 || d[0].Endpoint != "e01" || d[0].Failures != 0 {
 		t.Errorf("got %+v, want that e01 works again", d)
 	}
 }
--- a/internal/soak/observer/observer.go
+++ b/internal/soak/observer/observer.go
@@ -46,8 +46,8 @@
 	Began    time.Time
 	// Ended is zero while the run goes on.
 	Ended time.Time
-	// Harmed is set where the endpoint or the way to it was harmed while it ran.
-	Harmed bool
+	// Disrupted is set where the endpoint or the path to it was disrupted while it ran.
+	Disrupted bool
 	// KeySeen is set where the caller's key reached the endpoint.
 	KeySeen bool
 }
@@ -99,14 +99,14 @@
 	Requests []Request
 	Runs     []Run
 	Plans    map[string]Plan
-	// Settled is when all harm had been over for so long that every request must be served; zero where that never came.
+	// Settled is when the last fault had been over for so long that every request must be served; zero where that never came.
 	Settled time.Time
-	// Stops are the times in which gateways ended because they were told to, with nothing else harmed.
+	// Stops are the times in which gateways ended because they were told to, with no other fault on them.
 	Stops []Stop
 	// Withdrawn holds when a key was withdrawn, Leaving when an endpoint was announced to leave.
 	Withdrawn map[string]time.Time
 	Leaving   map[string]time.Time
-	// Calm tells whether nothing was harmed from one time to another, so that promises to gateways in touch hold.
+	// Calm tells whether no fault was in force from one time to another, so that promises to gateways in touch hold.
 	Calm func(from, to time.Time) bool
 }
 
@@ -190,7 +190,7 @@
 // checkGone looks for work for a caller who has left.
 func (o *Observer) checkGone(r *Request, run Run) {
 	latest := r.Left.Add(o.history.Bounds.Gone)
-	if r.Left.IsZero() || run.Harmed || !o.history.Calm(r.Sent, latest) {
+	if r.Left.IsZero() || run.Disrupted || !o.history.Calm(r.Sent, latest) {
 		return
 	}
 	o.expect(!run.Ended.IsZero() && !run.Ended.After(latest), "no work for callers gone", r.ID,
@@ -200,7 +200,7 @@
 // checkStop looks for requests that an orderly end of their gateway cut off.
 func (o *Observer) checkStop(r *Request, run Run) {
 	for _, s := range o.history.Stops {
-		if s.Gateway != r.Gateway || r.Ended.Before(s.From) || r.Sent.After(s.To) || run.Harmed || !r.Left.IsZero() {
+		if s.Gateway != r.Gateway || r.Ended.Before(s.From) || r.Sent.After(s.To) || run.Disrupted || !r.Left.IsZero() {
 			continue
 		}
 		o.expect(r.Status != 0, "orderly ends", r.ID, "cut off by the end of %s", r.Gateway)
--- a/internal/soak/proxier/proxier.go
+++ b/internal/soak/proxier/proxier.go
@@ -1,4 +1,4 @@
-// Package proxier passes TCP connections on over loopback and harms them on request, for tests that inject faults between
+// Package proxier passes TCP connections on over loopback and disturbs them on request, for tests that inject faults between
 // processes from outside.
 package proxier
 
