Blame no endpoint for callers who have gone

Cause: a caller who left while room was reserved made the model endpoint count as failed, which is now told to all gateways; one who left during a call of a plain service made its endpoint count as failing (a share of failures of 0.15 keeps it without requests for seconds) and the request as one that may have crashed it. Found when the diff was read. Two tests, each of which failed before. Ruled out: the decode path, which looks at its context first.

--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -85,10 +85,14 @@
 	return w
 }
 
+func (w *world) state() edge.State {
+	s, _ := w.edge.State().(edge.State)
+	return s
+}
+
 // levels returns the tokens that the account has left.
 func (w *world) levels() float64 {
-	s, _ := w.edge.State().(edge.State)
-	return s.Levels["acc"]
+	return w.state().Levels["acc"]
 }
 
 func (w *world) close() {
@@ -485,6 +489,36 @@
 	if n := strings.Count(w.log.String(), "forward: call failed"); n != 1 {
 		t.Errorf("%d calls were made, want 1\n%s", n, w.log.String())
 	}
+	before := []int{len(w.plain[0].Runs()), len(w.plain[1].Runs())}
+	w.plain[0].Heal()
+	w.plain[1].Heal()
+	for range 10 {
+		w.get(http.MethodPost, "/read/x")
+	}
+	for i, e := range w.plain {
+		if len(e.Runs()) == before[i] {
+			t.Errorf("endpoint %s gets no more requests", e.ID)
+		}
+	}
+}
+
+// A caller who left while room was being reserved made the endpoint count as failed, at all gateways.
+func TestEdgeBlamesNoEndpointForCallersWhoHaveGone(t *testing.T) {
+	w := newWorld(t)
+	w.store.Remove("servers/d2")
+	w.eventually(func() bool { return len(w.state().Endpoints) == 4 }, "the endpoint has gone")
+	w.model["d1"].HoldDelay = 300 * time.Millisecond
+	r := w.request(http.MethodPost, "/draft/x", "body")
+	r.Header.Set("X-Pistachiovane-Token-Counts", "100,100")
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if a := w.send(r.WithContext(ctx)); a.err == nil {
+		t.Fatalf("got %+v before room was reserved", a)
+	}
+	w.eventually(func() bool { return strings.Contains(w.log.String(), "forward: done") }, "the request has ended")
+	if strings.Contains(w.log.String(), "room not reserved") {
+		t.Errorf("the endpoint counts as failed\n%s", w.log.String())
+	}
 }
 
 func TestEdgeFinishesItsWorkBeforeItStops(t *testing.T) {
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -110,11 +110,11 @@
 // callOne calls one endpoint; again tells whether another one may be tried after a failure.
 func (f *Forwarder) callOne(ctx context.Context, j *job, e *balancer.Endpoint, again bool) result {
 	j.record.endpoint = e.ID
-	ctx, cancel := f.callContext(ctx, j, again)
+	callCtx, cancel := f.callContext(ctx, j, again)
 	defer cancel()
 	left := f.left(j)
 	began := f.clock()
-	r, err := f.endpoints.Run(ctx, e.Address, Call{
+	r, err := f.endpoints.Run(callCtx, e.Address, Call{
 		Request: j.Request, Instance: e.ID, Account: j.accountName(), Budget: left, Fresh: j.route.Kind == matcher.Once,
 	})
 	var got result
@@ -124,7 +124,11 @@
 		got, answer = f.judgeReply(j, r, again)
 		defer r.Close()
 	} else {
-		got = f.judgeFailure(ctx, j, err, again)
+		got = f.judgeFailure(callCtx, j, err, again)
+	}
+	if got != answered && f.callerGone(ctx, j) {
+		f.director.Balanced(func(b *balancer.Balancer, _ time.Duration) { b.End(e.ID) })
+		return over
 	}
 	f.reportCall(j, e, got, r, f.clock()-began)
 	if got == answered {
@@ -133,6 +137,11 @@
 	return got
 }
 
+// callerGone tells whether a request ended because its caller left, which says nothing of the endpoint.
+func (f *Forwarder) callerGone(ctx context.Context, j *job) bool {
+	return ctx.Err() != nil && f.left(j) > 0
+}
+
 // callContext bounds a call that may be repeated, so that a silent endpoint costs only a part of the time.
 func (f *Forwarder) callContext(ctx context.Context, j *job, again bool) (context.Context, context.CancelFunc) {
 	if !again || j.route.Target <= 0 {
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -90,6 +90,11 @@
 			g.record.waited = f.clock() - g.since
 			return true
 		}
+		if ctx.Err() != nil {
+			// Says nothing of the endpoint.
+			f.timedOut(g.job, reasonOver)
+			return false
+		}
 		f.reserveFailed(g, e, err)
 		verdict := f.director.Again(ctx, g.number)
 		if !f.granted(g.job, verdict) {
