--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -26,6 +28,8 @@
 	finalFor = 2 * time.Second
 	// lateWork is the time that endpoints may go on after the last caller has ended.
 	lateWork = 1500 * time.Millisecond
+	// endTogether is the time that worlds of one time have to close when the program is told to end.
+	endTogether = time.Second
 )
 
 type arguments struct {
@@ -144,6 +148,7 @@
 		return r, err
 	}
 	defer w.close()
+	defer a.onSignal(w.close)()
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
 	start := func(run func(stop <-chan struct{})) {
@@ -177,6 +182,27 @@
 	return r, err
 }
 
+// onSignal has a world closed and the program ended when it is told to end: a gateway that is stopped would outlive it. The
+// returned function ends that.
+func (a arguments) onSignal(closeWorld func()) (end func()) {
+	signals := make(chan os.Signal, 1)
+	done := make(chan struct{})
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+			closeWorld()
+			time.Sleep(endTogether)
+			os.Exit(2)
+		case <-done:
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(done)
+	}
+}
+
 // conclude checks what was seen.
 func (r *report) conclude(w *world, settled time.Time) {
 	o := observer.New(w.history(settled))
