--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -423,7 +423,7 @@
 // close ends all processes and stand-ins.
 func (w *world) close() {
 	for _, g := range w.gateways {
-		g.process.Kill()
+		g.process.Close()
 		g.store.Close()
 	}
 	w.mu.Lock()
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -35,6 +35,8 @@
 	// surprises counts the processes that ended by themselves.
 	surprises int
 	starts    int
+	// closed is set once nothing is to be started any more.
+	closed bool
 }
 
 // New returns a launcher that has started nothing.
@@ -42,11 +44,11 @@
 	return &Launcher{program: p}
 }
 
-// Start starts the program, unless it runs.
+// Start starts the program, unless it runs or the launcher is closed.
 func (l *Launcher) Start() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.process != nil {
+	if l.process != nil || l.closed {
 		return nil
 	}
 	out, err := os.OpenFile(l.program.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -98,6 +100,14 @@
 	l.await(time.Minute)
 }
 
+// Close ends the process for good: a later start does nothing.
+func (l *Launcher) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.Kill()
+}
+
 // Terminate asks the process to end and kills it after a while. It tells whether the process ended by itself.
 func (l *Launcher) Terminate(grace time.Duration) bool {
 	l.Signal(syscall.SIGTERM)
--- a/internal/soak/launcher/launcher_test.go
+++ b/internal/soak/launcher/launcher_test.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// A fault that went on while the soak was told to end started a gateway that outlived it and kept its addresses.
+func TestNothingStartsAfterTheEnd(t *testing.T) {
+	l := launcher.New(launcher.Program{Path: "/bin/sleep", Arguments: []string{"60"}, Log: filepath.Join(t.TempDir(), "log")})
+	if err := l.Start(); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if err := l.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if starts, _ := l.Starts(); starts != 1 {
+		t.Errorf("%d starts, want 1", starts)
+	}
+}
+
 func TestProcessThatEndsByItselfIsASurprise(t *testing.T) {
 	l := launcher.New(launcher.Program{Path: "/bin/sh", Arguments: []string{"-c", "exit 3"}, Log: filepath.Join(t.TempDir(), "log")})
 	if err := l.Start(); err != nil {
