--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -124,8 +124,13 @@
 	return w, nil
 }
 
+// address returns the loopback address of a gateway, another one for each slot and, nearly always, for each soak on a machine.
+func address(slot, gateway int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 20+slot, os.Getpid()%250, gateway+1)
+}
+
 func (w *world) addGateway(program string, slot, i int) error {
-	ip := fmt.Sprintf("127.%d.0.%d", 20+slot, i+1)
+	ip := address(slot, i)
 	name := fmt.Sprintf("g%d", i)
 	store, err := proxier.New(w.store.Address())
 	if err != nil {
@@ -148,7 +153,7 @@
 	content, err := json.Marshal(map[string]any{
 		"node": name, "ip": ip, "zone": domain,
 		"listen":     map[string]string{"front": ip + ":8360", "ready": ip + ":8365", "control": ip + ":8367"},
-		"port_range": []int{7500, 7515}, "seed_addrs": []string{fmt.Sprintf("127.%d.0.1:8367", 20+slot), fmt.Sprintf("127.%d.0.2:8367", 20+slot)},
+		"port_range": []int{7500, 7515}, "seed_addrs": []string{address(slot, 0) + ":8367", address(slot, 1) + ":8367"},
 		"limits": map[string]any{"memory_mb": 128}, "platform": map[string]any{"address": store},
 		"bounds": map[string]any{
 			"drain_grace_s": drainGrace.Seconds(), "revoke_deadline_ms": bounds.Revoke.Milliseconds(),
