SIGHUP right after the start does not end a gateway

Traced by hand: SIGHUP 1, 3 and 5 ms after the start ends the process (exit 129 of the shell: hang up), since it listens for it only once its ports are open; at 10 ms it lives. On a busy machine the start takes longer. Now it is ignored from the first line of the program on; 3 ms still end it, before the program's runtime is up, which no program can help. The soak sends SIGHUP to processes that have run for a second; the start has a test of its own, which failed before.

--- a/cmd/pistachiovane/cmds/cmds.go
+++ b/cmd/pistachiovane/cmds/cmds.go
@@ -55,9 +55,16 @@
 	run(ctx context.Context, o output) error
 }
 
+// edgeName is the word for the edge command.
+const edgeName = "edge"
+
 // Run parses the arguments, runs the command and returns the exit code. A first SIGTERM or interrupt ends
 // the command's context; a second interrupt ends the process, a second SIGTERM changes nothing.
 func Run(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == edgeName {
+		// New settings may be announced before the command listens for that; SIGHUP would then end the process.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	var a arguments
 	parser, err := arg.NewParser(arg.Config{Program: "pistachiovane", Out: stderr, Exit: func(int) {}}, &a)
 	if err != nil {
--- a/cmd/pistachiovane/cmds/signal_test.go
+++ b/cmd/pistachiovane/cmds/signal_test.go
@@ -1,7 +1,9 @@
 package cmds
 
 import (
+	"io"
 	"os"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -24,3 +26,14 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// SIGHUP right after the start ended a gateway that did not listen for it yet (soak, seed 5).
+func TestHangUpBeforeTheGatewayListensDoesNotEndIt(t *testing.T) {
+	defer signal.Reset(syscall.SIGHUP)
+	if code := Run([]string{"edge", "--settings", "/does/not/exist"}, io.Discard, io.Discard); code == exitOK {
+		t.Fatal("the command succeeded without settings")
+	}
+	if !signal.Ignored(syscall.SIGHUP) {
+		t.Error("SIGHUP would have ended the process")
+	}
+}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -15,6 +15,8 @@
 const (
 	// restartAfter is how long a process that was killed stays away.
 	restartAfter = 300 * time.Millisecond
+	// startUp is the time after which a process can be expected to handle signals.
+	startUp = time.Second
 	// again is the pause in a series of the same fault.
 	again = 500 * time.Millisecond
 	// faultMost is the longest time of a fault that lasts.
@@ -157,7 +159,12 @@
 	return nil
 }
 
+// hangUp announces new settings. It leaves a process alone that has just started: before its runtime is up, no process can
+// keep SIGHUP from ending it.
 func (w *world) hangUp(g *gateway) error {
+	if g.process.Age() < startUp {
+		return nil
+	}
 	w.disrupted("hup " + g.name)()
 	g.process.Signal(syscall.SIGHUP)
 	return nil
--- a/internal/soak/launcher/launcher.go
+++ b/internal/soak/launcher/launcher.go
@@ -28,6 +28,8 @@
 
 	mu      sync.Mutex
 	process *os.Process
+	// started is when the present process was started.
+	started time.Time
 	// ended is closed when the present process has ended.
 	ended chan struct{}
 	// expected is set before a signal that ends the process.
@@ -62,7 +64,7 @@
 	if err := c.Start(); err != nil {
 		return errors.Wrap(err, "start program")
 	}
-	l.process, l.ended, l.expected = c.Process, make(chan struct{}), false
+	l.process, l.ended, l.expected, l.started = c.Process, make(chan struct{}), false, time.Now()
 	l.starts++
 	go l.runWait(c, l.ended)
 	return nil
@@ -133,6 +135,16 @@
 	}
 }
 
+// Age returns for how long the present process has run; zero where none runs.
+func (l *Launcher) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.process == nil {
+		return 0
+	}
+	return time.Since(l.started)
+}
+
 // Starts returns how often the program was started, and how often it ended without being told.
 func (l *Launcher) Starts() (starts, surprises int) {
 	l.mu.Lock()
