One piece of code for how long failed endpoints are left alone

Planner and balancer each had the same doubling pause with the same bounds. Behaviour unchanged: 0.3 s, doubled up to four times, 4 s at most.

--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -6,6 +6,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/ejector"
 )
 
 const (
@@ -15,9 +17,6 @@
 	failCost = 12
 	// remoteCost is what another failure domain costs, in requests in progress a slot.
 	remoteCost = 0.25
-	// ejectLeast and ejectMost bound the time that an endpoint out of reach is left alone.
-	ejectLeast = 300 * time.Millisecond
-	ejectMost  = 4 * time.Second
 	// fullFor is how long an endpoint that refused a request counts as full.
 	fullFor = 100 * time.Millisecond
 	// loadFor is how long a reported load is believed.
@@ -168,8 +167,8 @@
 func (b *Balancer) Lost(id string, now time.Duration) {
 	b.Judge(id, false, now)
 	if n, ok := b.nodes[id]; ok {
-		n.away = now + min(ejectMost, ejectLeast<<min(n.failures, 4))
 		n.failures++
+		n.away = now + ejector.Pause(n.failures)
 	}
 }
 
--- /dev/null
+++ b/internal/routing/ejector/ejector.go
@@ -0,0 +1,16 @@
+// Package ejector tells how long a failed endpoint is left alone.
+package ejector
+
+import "time"
+
+const (
+	// least and most bound the time that a failed endpoint is left alone; doublings bounds how often the least is doubled.
+	least     = 300 * time.Millisecond
+	most      = 4 * time.Second
+	doublings = 4
+)
+
+// Pause returns how long an endpoint is left alone after so many failures in a row, one at least.
+func Pause(failures int) time.Duration {
+	return min(most, least<<min(failures-1, doublings))
+}
--- a/internal/routing/planner/health.go
+++ b/internal/routing/planner/health.go
@@ -1,13 +1,14 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/ejector"
+)
 
 const (
 	// fullFor is how long an endpoint that refused a request counts as full.
 	fullFor = 120 * time.Millisecond
-	// ejectLeast and ejectMost bound the time that a failed endpoint is left alone.
-	ejectLeast = 300 * time.Millisecond
-	ejectMost  = 4 * time.Second
 	// tellFailureFor is how long a failure, and a success after it, is told to the other gateways.
 	tellFailureFor = 2 * time.Second
 	// suspectAfter is how many failures in a row, of all gateways, make an endpoint suspect to those that it has not
@@ -60,7 +61,7 @@
 	if !ok {
 		return
 	}
-	n.ejectedUntil = now + backoff(n.failures+1)
+	n.ejectedUntil = now + ejector.Pause(n.failures+1)
 	n.failures++
 	n.number++
 	n.failedAt = now
@@ -80,11 +81,6 @@
 	p.trust(n, now)
 }
 
-// backoff is how long an endpoint is left alone after so many failures in a row.
-func backoff(failures int) time.Duration {
-	return min(ejectMost, ejectLeast<<min(failures-1, 4))
-}
-
 // Suspicion is a change of what is believed of an endpoint for what gateways report of it.
 type Suspicion struct {
 	Endpoint string
@@ -109,7 +105,7 @@
 	if n.row < suspectAfter {
 		return
 	}
-	leave := backoff(n.row)
+	leave := ejector.Pause(n.row)
 	leave += time.Duration(p.rand.Int64N(int64(leave)))
 	if now >= n.suspectUntil {
 		p.suspicions = append(p.suspicions, Suspicion{Endpoint: n.ID, Failures: n.row, For: leave})
