Soak: one lock for the endpoints of the testbed; the known race is mended

Cause: runHeartbeat read endpoint.leaving, and the injector read the list of endpoints, without the lock under which replaceEndpoint writes them. Besides the race, a heartbeat could announce a leaving endpoint as ready again. Change: heartbeats and the announcement of a replacement are written under the lock, pickEndpoint draws under it.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -86,7 +86,7 @@
 func (i *injector) draw() injection {
 	b := i.testbed
 	g := b.gateways[i.rng.IntN(len(b.gateways))]
-	e := b.endpoints[i.rng.IntN(len(b.endpoints))]
+	e := b.pickEndpoint(i.rng)
 	duration := 200*time.Millisecond + time.Duration(i.rng.Int64N(int64(maxRandomFaultDuration)))
 	networkFault := proxier.Fault(1 + i.rng.IntN(4))
 	responseFault := standin.Fault(1 + i.rng.IntN(int(standin.NoResponse)))
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -80,6 +80,14 @@
 	leaving bool
 }
 
+// state returns the state that the endpoint announces in the store. The caller must hold the lock of the testbed.
+func (e *endpoint) state() string {
+	if e.leaving {
+		return "draining"
+	}
+	return "ready"
+}
+
 // faultPeriod is a period in which a fault was active; to is zero until the fault ends.
 type faultPeriod struct {
 	// fault is the kind of the fault, such as "kill", and its target after a space.
@@ -308,10 +316,10 @@
 	if err := b.addEndpoint(id, replaced.Stage); err != nil {
 		return err
 	}
-	b.store.Put(replaced.StoreEntry("draining"))
 	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.store.Put(replaced.StoreEntry(replaced.state()))
 	b.leavingSince[replaced.ID] = time.Now()
-	b.mu.Unlock()
 	return nil
 }
 
@@ -376,19 +384,27 @@
 			return
 		case <-time.After(heartbeatInterval):
 		}
-		b.mu.Lock()
-		endpoints := append([]*endpoint(nil), b.endpoints...)
-		b.mu.Unlock()
-		for _, e := range endpoints {
-			state := "ready"
-			if e.leaving {
-				state = "draining"
-			}
-			b.store.Put(e.StoreEntry(state))
-		}
+		b.writeHeartbeats()
+	}
+}
+
+// writeHeartbeats writes the entries of all endpoints to the store. It holds the lock meanwhile, so that no entry of a
+// leaving endpoint is overwritten by an older state.
+func (b *testbed) writeHeartbeats() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.endpoints {
+		b.store.Put(e.StoreEntry(e.state()))
 	}
 }
 
+// pickEndpoint returns a random endpoint, which may be leaving.
+func (b *testbed) pickEndpoint(rng *rand.Rand) *endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.endpoints[rng.IntN(len(b.endpoints))]
+}
+
 // pickGateway returns a random ready gateway, or any random gateway when none is ready.
 func (b *testbed) pickGateway(rng *rand.Rand) *gateway {
 	b.mu.Lock()
