--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -50,6 +50,14 @@
 	Uncontended bool `json:"a,omitempty"`
 }
 
+// Usage is the endpoint time that recent generations of one service used. The generations are counted with weights
+// that decay with their age.
+type Usage struct {
+	Generations   float64 `json:"n"`
+	PrefillMillis float64 `json:"p"`
+	DecodeMillis  float64 `json:"d"`
+}
+
 // CrashRecord is a request that was running on endpoints when they crashed.
 type CrashRecord struct {
 	Fingerprint uint64   `json:"f"`
@@ -96,8 +104,14 @@
 	// AvailableTokens holds the tokens that each account may still spend. Only peers that need them get them.
 	AvailableTokens map[string]float64 `json:"level,omitempty"`
 	CrashRecords    []CrashRecord      `json:"blame,omitempty"`
-	// OrderAgesMs holds, by endpoint, the age in ms of the latest order to change from prefill to decode.
-	OrderAgesMs map[string]int64 `json:"order,omitempty"`
+	// OrderAgesMs holds, by endpoint, the age in ms of the latest order to change the stage. The order is to become a
+	// decode endpoint unless PrefillOrders names the endpoint.
+	OrderAgesMs   map[string]int64 `json:"order,omitempty"`
+	PrefillOrders []string         `json:"toread,omitempty"`
+	// FencingToken is the highest fencing token that the sender has used or learned of.
+	FencingToken int64 `json:"fence,omitempty"`
+	// Usages holds the endpoint time that recent generations of the sender used, by service.
+	Usages map[string]Usage `json:"use,omitempty"`
 	// EndpointChanges holds the latest changes of the endpoint list.
 	EndpointChanges []EndpointChange `json:"list,omitempty"`
 	// PeerAddresses holds the addresses of some gateways that the sender knows.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -31,7 +31,9 @@
 	"github.com/pistachiovane/pistachiovane/internal/proxy/forwarder"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
+	"github.com/pistachiovane/pistachiovane/internal/routing/fencer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
 	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
@@ -174,6 +176,7 @@
 		Planner:  planner.New(plannerOptions(o.Domain), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Balancer: balancer.New(o.Domain), Capper: capper.New(o.Limits, clock.SinceBoot()),
 		Retrier: retrier.New(o.RetryBudget), Rebalancer: rebalancer.New(rebalancerOptions()),
+		Profiler: profiler.New(profilerOptions()), Fencer: fencer.New(),
 		CrashTracker: crashtracker.New(crashBlameWindow, maxBlamedRequests), Log: logger,
 	})
 	maxConfigAgeForKeys := o.RevokeDeadline - revocationMargin
@@ -197,11 +200,15 @@
 
 func rebalancerOptions() rebalancer.Options {
 	return rebalancer.Options{
-		PrefillRate: initialPrefillTokensPerSecond, PromptFraction: 0.4, MaxUtilization: 0.93,
+		MinGenerations: 30, MaxPrefillUtilization: 0.8, MinGain: 1.1,
 		LeaderSettleTime: 4 * time.Second, MinOrderInterval: 15 * time.Second,
 	}
 }
 
+func profilerOptions() profiler.Options {
+	return profiler.Options{DecayTime: 20 * time.Second, MaxPeerAge: 3 * time.Second}
+}
+
 // addServices adds all parts of the gateway that run in the background to the supervisor.
 func (d *Daemon) addServices() {
 	config := follower.Options{Prefix: d.dependencies.ConfigPrefix, Pace: d.configPace}
@@ -216,7 +223,7 @@
 	d.supervisor.Add(d.controller)
 	d.supervisor.Add(d.broadcaster)
 	d.supervisor.Add(&orderSender{
-		name: d.options.Name, controller: d.controller, stageSwitcher: d.dependencies.StageSwitcher, ready: d.Ready,
+		name: d.options.Name, clock: clock.SinceBoot, controller: d.controller, stageSwitcher: d.dependencies.StageSwitcher, ready: d.Ready,
 		log:          d.log,
 		leaderStatus: func() (bool, int, int) { return d.broadcaster.LeaderStatus(peerTimeout) },
 	})
--- a/internal/process/daemon/order_sender.go
+++ b/internal/process/daemon/order_sender.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
 	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
@@ -14,21 +14,25 @@
 const (
 	// orderInterval is how often the gateway checks which endpoints are to change their stage.
 	orderInterval = time.Second
-	// orderTimeout limits the call that sends an order.
-	orderTimeout = time.Second
+	// maxOrderAge is the time since the decision on an order after which it is no longer sent. A process that was
+	// suspended in the meantime may have lost the leadership to a gateway that has given orders since.
+	maxOrderAge = 800 * time.Millisecond
 )
 
 // StageSwitcher orders endpoints to change their stage.
 type StageSwitcher interface {
-	// SwitchToDecode orders a prefill endpoint to become a decode endpoint. holder is the name of the gateway that
-	// sends the order. The fencing token must be higher than those of all earlier orders of any gateway. accepted is
-	// false if the endpoint refused.
-	SwitchToDecode(ctx context.Context, address, endpointID, holder string, fencingToken int64) (accepted bool, err error)
+	// SwitchStage orders an endpoint to become a prefill endpoint if toPrefill is set, otherwise a decode endpoint. holder
+	// is the name of the gateway that sends the order. The fencing token must be higher than those of all earlier orders
+	// of any gateway. accepted is false if the endpoint refused.
+	SwitchStage(
+		ctx context.Context, address, endpointID string, toPrefill bool, holder string, fencingToken int64,
+	) (accepted bool, err error)
 }
 
 // orderSender sends the orders to change stages that the controller decides on.
 type orderSender struct {
 	name          string
+	clock         clock.Clock
 	controller    *controller.Controller
 	stageSwitcher StageSwitcher
 	// ready reports whether the gateway is ready for callers. A gateway that is not ready sends no orders.
@@ -37,8 +41,6 @@
 	// recently and of known gateways.
 	leaderStatus func() (leader bool, recent, known int)
 	log          *log.Logger
-	// lastFencingToken is the fencing token of the latest order sent by this gateway.
-	lastFencingToken int64
 }
 
 // Serve sends the due orders every orderInterval until the context ends.
@@ -47,32 +49,27 @@
 }
 
 // sendDueOrders asks the controller for stage changes and sends an order for each. Only the leader of the active
-// gateways sends orders.
+// gateways sends orders. Orders that are still unsent after maxOrderAge are dropped.
 func (o *orderSender) sendDueOrders(ctx context.Context) {
 	leader, recent, known := o.leaderStatus()
-	for _, change := range o.controller.Rebalance(leader && o.ready(), recent, known) {
-		o.sendOrder(ctx, change)
+	decidedAt := o.clock()
+	changes := o.controller.Rebalance(leader && o.ready(), recent, known)
+	for i, change := range changes {
+		if age := o.clock() - decidedAt; age > maxOrderAge {
+			o.log.Warn().Int("dropped", len(changes)-i).Int64("age_ms", age.Milliseconds()).Msg("order: too late to send")
+			return
+		}
+		o.sendOrder(ctx, change, maxOrderAge-(o.clock()-decidedAt))
 	}
 }
 
-// gatewayHashBits is the number of low bits of a fencing token that hold a hash of the gateway's name.
-const gatewayHashBits = 10
-
-// nextFencingToken returns a fencing token that is higher than the last one of this gateway. The high bits hold the
-// time of day in ms. A gateway that becomes the leader waits before its first order for longer than the clocks of VMs
-// differ, so its tokens are higher than those of the leader before it. The low bits hold a hash of the gateway's name,
-// so that two gateways do not use the same token in the same millisecond.
-func nextFencingToken(last int64, gateway string, now time.Time) int64 {
-	gatewayHash := int64(xxhash.Sum64String(gateway) % (1 << gatewayHashBits))
-	return max(last+1<<gatewayHashBits, now.UnixMilli()<<gatewayHashBits|gatewayHash)
-}
-
-// sendOrder sends one order and logs its result. It does not retry; the controller may decide on the same change later.
-func (o *orderSender) sendOrder(ctx context.Context, change controller.StageChange) {
-	o.lastFencingToken = nextFencingToken(o.lastFencingToken, o.name, time.Now())
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+// sendOrder sends one order and logs its result. It waits for the endpoint up to the timeout and does not retry; the
+// controller may decide on the same change later.
+func (o *orderSender) sendOrder(ctx context.Context, change controller.StageChange, timeout time.Duration) {
+	token := o.controller.NextFencingToken(o.name, time.Now())
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	accepted, err := o.stageSwitcher.SwitchToDecode(ctx, change.Address, change.ID, o.name, o.lastFencingToken)
-	o.log.Info().Str("endpoint", change.ID).Int64("fence", o.lastFencingToken).Bool("accepted", accepted).Err(err).
-		Msg("order: become a decode endpoint")
+	accepted, err := o.stageSwitcher.SwitchStage(ctx, change.Address, change.ID, change.ToPrefill, o.name, token)
+	o.log.Info().Str("endpoint", change.ID).Bool("to_prefill", change.ToPrefill).Int64("fence", token).
+		Bool("accepted", accepted).Err(err).Msg("order: change stage")
 }
--- a/internal/proxy/forwarder/relay.go
+++ b/internal/proxy/forwarder/relay.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
 const contentTypeHeader = "Content-Type"
@@ -145,13 +144,10 @@
 	return outcomeBroken
 }
 
-// reportDecodeSpeed reports to the planner how long the given number of events took. The first event must not be
+// reportDecodeSpeed reports to the controller how long the given number of events took. The first event must not be
 // counted, because it arrives together with the head.
 func (f *Forwarder) reportDecodeSpeed(g *generation, events int, duration time.Duration) {
-	f.controller.UpdatePlanner(func(p *planner.Planner, _ time.Duration) []planner.Decision {
-		p.RecordDecode(events*g.engine.TokensPerEvent, duration)
-		return nil
-	})
+	f.controller.RecordDecode(g.plannerID, events*g.engine.TokensPerEvent, duration)
 }
 
 // relayFailure relays a response with another status than 200. A server error is held back if a retry is possible.
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -18,7 +18,9 @@
 	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/fencer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
@@ -54,6 +56,8 @@
 	Capper       *capper.Capper
 	Retrier      *retrier.Retrier
 	Rebalancer   *rebalancer.Rebalancer
+	Profiler     *profiler.Profiler
+	Fencer       *fencer.Fencer
 	CrashTracker *crashtracker.CrashTracker
 	Log          *log.Logger
 }
@@ -71,6 +75,8 @@
 	capper       *capper.Capper
 	retrier      *retrier.Retrier
 	rebalancer   *rebalancer.Rebalancer
+	profiler     *profiler.Profiler
+	fencer       *fencer.Fencer
 	crashTracker *crashtracker.CrashTracker
 	// config is the active configuration, or nil before the first one. endpoints is the endpoint list.
 	config    *matcher.Matcher
@@ -97,8 +103,7 @@
 func New(c Components) *Controller {
 	return &Controller{
 		clock: c.Clock, tracker: c.Tracker, planner: c.Planner, balancer: c.Balancer, capper: c.Capper, retrier: c.Retrier,
-		rebalancer: c.Rebalancer, crashTracker: c.CrashTracker,
-		log:              c.Log,
+		rebalancer: c.Rebalancer, profiler: c.Profiler, fencer: c.Fencer, crashTracker: c.CrashTracker, log: c.Log,
 		pendingDecisions: map[uint64]chan planner.Decision{}, peers: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -169,7 +174,7 @@
 		if e.Leaving {
 			continue
 		}
-		if _, ordered := recent[e.ID]; ordered && e.Prefill {
+		if order, ordered := recent[e.ID]; changesStage(order, ordered, e.Prefill) {
 			// The endpoint is changing its stage and the list still shows the old one.
 			continue
 		}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -21,12 +21,7 @@
 	for id, l := range c.planner.Loads(now) {
 		m.Loads = append(m.Loads, encodeLoad(id, l))
 	}
-	for id, at := range c.rebalancer.RecentOrders(maxStageChangeTime, now) {
-		if m.OrderAgesMs == nil {
-			m.OrderAgesMs = make(map[string]int64)
-		}
-		m.OrderAgesMs[id] = (now - at).Milliseconds()
-	}
+	c.composeStages(&m, now)
 	for id, report := range c.balancer.RecentReports(now) {
 		if m.EndpointRequests == nil {
 			m.EndpointRequests = make(map[string][2]int64)
@@ -91,7 +86,7 @@
 
 // Receive applies a message from a peer. A message with only loads updates the loads of the named endpoints. A full
 // message replaces the load of the peer on all endpoints and also carries admitted totals, available tokens, orders,
-// crash records, requests that endpoints reported, and the age of the configuration. That age is ignored if this
+// usages, crash records, requests that endpoints reported, and the age of the configuration. That age is ignored if this
 // process may have been suspended.
 func (c *Controller) Receive(m broadcaster.Message) {
 	c.mu.Lock()
@@ -110,7 +105,7 @@
 	}
 	c.capper.ReceiveTotals(m.From, m.Incarnation, m.AdmittedTotals, m.AllAccounts, now)
 	c.capper.AdoptAvailableTokens(m.AvailableTokens, now)
-	c.mergeOrders(m.OrderAgesMs, now)
+	c.receiveStages(m, now)
 	c.crashTracker.Merge(decodeCrashRecords(m.CrashRecords), now)
 	loads := make(map[string]planner.Load, len(m.Loads))
 	for _, l := range m.Loads {
@@ -126,20 +121,6 @@
 	}
 }
 
-// mergeOrders records the orders of a peer, given as their ages in ms by endpoint ID. The lock must be held.
-func (c *Controller) mergeOrders(ages map[string]int64, now time.Duration) {
-	recent := c.rebalancer.RecentOrders(maxStageChangeTime, now)
-	changed := false
-	for id, age := range ages {
-		_, known := recent[id]
-		changed = changed || !known
-		c.rebalancer.RecordOrder(id, now-time.Duration(age)*time.Millisecond)
-	}
-	if changed {
-		c.distributeEndpoints()
-	}
-}
-
 // decodeCrashRecords converts the crash records of a message.
 func decodeCrashRecords(records []broadcaster.CrashRecord) []quarantiner.CrashRecord {
 	out := make([]quarantiner.CrashRecord, 0, len(records))
@@ -205,5 +186,6 @@
 	defer c.mu.Unlock()
 	delete(c.peers, peer)
 	c.planner.RemovePeer(peer)
+	c.profiler.RemovePeer(peer)
 	c.retrier.SetGateways(len(c.peers) + 1)
 }
--- a/internal/routing/planner/placement.go
+++ b/internal/routing/planner/placement.go
@@ -181,7 +181,12 @@
 
 // prefillTime returns how long the endpoint needs to process a prompt of the given length.
 func (n *node) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / n.prefillRate * float64(time.Second))
+	return prefillTime(tokens, n.prefillRate)
+}
+
+// prefillTime returns how long a prompt takes at a prefill speed in tokens per second.
+func prefillTime(tokens int, rate float64) time.Duration {
+	return time.Duration(float64(tokens) / rate * float64(time.Second))
 }
 
 // assign counts a request with a plan on its decode endpoint and, if prefilling is set, on its prefill endpoint.
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -152,8 +152,13 @@
 type Planner struct {
 	options Options
 	rand    *rand.Rand
-	// decodeRate is the estimated decode speed of one request, in output tokens per second.
-	decodeRate float64
+	// prefillRate is the prefill speed that is assumed of endpoints without measurements, in prompt tokens per second. It
+	// follows the measurements at other endpoints.
+	prefillRate float64
+	// decodeRate is the estimated decode speed of one request, in output tokens per second. decodeMeasured is set once it
+	// comes from a measurement.
+	decodeRate     float64
+	decodeMeasured bool
 	// nodes holds all endpoints by ID, sortedNodes the same endpoints ordered by ID.
 	nodes       map[string]*node
 	sortedNodes []*node
@@ -174,7 +179,7 @@
 // New returns a planner without endpoints. r chooses randomly among endpoints that are about equally good.
 func New(o Options, r *rand.Rand) *Planner {
 	return &Planner{
-		options: o, rand: r, decodeRate: o.DecodeRate, nodes: map[string]*node{},
+		options: o, rand: r, prefillRate: o.PrefillRate, decodeRate: o.DecodeRate, nodes: map[string]*node{},
 		queues: map[string]*scheduler.Scheduler[*job]{}, jobs: map[uint64]*job{},
 	}
 }
@@ -189,7 +194,7 @@
 		if !ok {
 			n = &node{
 				ownRuns: map[uint64]Run{}, peerLoads: map[string]peerLoad{}, peerPrefillIDs: map[string]uint64{},
-				health: newHealth(), prefillRate: p.options.PrefillRate,
+				health: newHealth(), prefillRate: p.prefillRate,
 			}
 			p.nodes[e.ID] = n
 		}
--- a/internal/routing/planner/queue.go
+++ b/internal/routing/planner/queue.go
@@ -26,8 +26,7 @@
 
 // missesDeadline reports whether the first event would be late even if the request started now and without waiting.
 func (p *Planner) missesDeadline(j *job, now time.Duration) bool {
-	return now+time.Duration(float64(j.PromptTokens)/p.options.PrefillRate*float64(time.Second))+
-		p.options.FirstEventOverhead > j.FirstEventDeadline
+	return now+prefillTime(j.PromptTokens, p.prefillRate)+p.options.FirstEventOverhead > j.FirstEventDeadline
 }
 
 // queue returns the queue of a service and creates it if it does not exist.
--- a/internal/routing/planner/rates.go
+++ b/internal/routing/planner/rates.go
@@ -8,10 +8,11 @@
 	// one counts only if it was uncontended, because otherwise it may have waited for other prompts.
 	slowerSampleWeight = 0.25
 	fasterSampleWeight = 0.5
-	// decodeSampleWeight is the weight of one response in the estimated decode speed.
+	// maxFasterFactor limits how much faster than the estimate one prefill can count. An endpoint that has a part of the
+	// prompt cached processes it much faster than it could process others.
+	maxFasterFactor = 1.5
+	// decodeSampleWeight is the weight of one response in the estimated decode speed, once one has been measured.
 	decodeSampleWeight = 0.05
-	// maxRateFactor is the largest factor by which an estimated speed may be above or below the configured one.
-	maxRateFactor = 10
 	// prefillReportTime is the time for which the latest prefill is reported to the peers.
 	prefillReportTime = 2 * time.Second
 )
@@ -53,13 +54,58 @@
 	}
 }
 
-// RecordDecode records how many output tokens a decode endpoint generated within a duration.
-func (p *Planner) RecordDecode(tokens int, duration time.Duration) {
+// DecodeCost is the endpoint time that a completed generation used.
+type DecodeCost struct {
+	Service string
+	// PrefillTime is the time in which one prefill endpoint processes the prompt.
+	PrefillTime time.Duration
+	// DecodeSeconds is the time for which the generation held its decode endpoint, in seconds, multiplied by the fraction
+	// of the slots or of the usable KV memory that it occupied, whichever is larger.
+	DecodeSeconds float64
+}
+
+// RecordDecode records how many output tokens the decode endpoint of a running request generated within a duration. It
+// returns the endpoint time that the generation used; ok is false if it is not known.
+func (p *Planner) RecordDecode(id uint64, tokens int, duration time.Duration) (c DecodeCost, ok bool) {
 	if tokens <= 0 || duration <= 0 {
+		return DecodeCost{}, false
+	}
+	p.updateDecodeRate(float64(tokens) / duration.Seconds())
+	j, known := p.jobs[id]
+	if !known || j.plan == nil {
+		return DecodeCost{}, false
+	}
+	n, known := p.nodes[j.plan.Decode.ID]
+	if !known {
+		return DecodeCost{}, false
+	}
+	rate := p.prefillRate
+	if prefill, measured := p.nodes[prefillID(j.plan)]; measured {
+		rate = prefill.prefillRate
+	}
+	c = DecodeCost{Service: j.Service, PrefillTime: prefillTime(j.PromptTokens, rate)}
+	c.DecodeSeconds = p.occupiedFraction(n, j.PromptTokens+tokens) * (duration + c.PrefillTime).Seconds()
+	return c, true
+}
+
+// updateDecodeRate moves the estimated decode speed towards a sample, in tokens per second. The average is that of the
+// time for one token, so that a response whose tokens arrived all at once counts little. The first sample replaces the
+// assumed speed.
+func (p *Planner) updateDecodeRate(sample float64) {
+	if !p.decodeMeasured {
+		p.decodeMeasured, p.decodeRate = true, sample
 		return
 	}
-	rate := p.decodeRate + decodeSampleWeight*(float64(tokens)/duration.Seconds()-p.decodeRate)
-	p.decodeRate = p.options.clampRate(rate, p.options.DecodeRate)
+	p.decodeRate = 1 / ((1-decodeSampleWeight)/p.decodeRate + decodeSampleWeight/sample)
+}
+
+// occupiedFraction returns the fraction of a decode endpoint that a generation of the given length occupies.
+func (p *Planner) occupiedFraction(n *node, tokens int) float64 {
+	fraction := 1 / float64(max(1, n.Slots))
+	if n.MemoryTokens > 0 {
+		fraction = max(fraction, float64(tokens)/(p.options.MaxMemoryFraction*float64(n.MemoryTokens)))
+	}
+	return min(1, fraction)
 }
 
 // endPrefill removes the prompt of a request from the backlog of its prefill endpoint.
@@ -70,19 +116,21 @@
 	}
 }
 
-// updatePrefillRate moves the estimated prefill speed of an endpoint towards a sample.
+// updatePrefillRate moves the estimated prefill speed of an endpoint, and that assumed of unmeasured endpoints, towards
+// a sample.
 func (p *Planner) updatePrefillRate(n *node, s PrefillSample) {
-	rate := n.prefillRate
+	n.prefillRate = nextPrefillRate(n.prefillRate, s)
+	p.prefillRate = nextPrefillRate(p.prefillRate, s)
+}
+
+// nextPrefillRate returns an estimated prefill speed after a sample.
+func nextPrefillRate(rate float64, s PrefillSample) float64 {
 	switch {
 	case s.TokensPerSecond > rate:
-		rate += fasterSampleWeight * (s.TokensPerSecond - rate)
+		return rate + fasterSampleWeight*(min(s.TokensPerSecond, maxFasterFactor*rate)-rate)
 	case s.Uncontended:
-		rate += slowerSampleWeight * (s.TokensPerSecond - rate)
+		return rate + slowerSampleWeight*(s.TokensPerSecond-rate)
+	default:
+		return rate
 	}
-	n.prefillRate = p.options.clampRate(rate, p.options.PrefillRate)
-}
-
-// clampRate limits a rate to within a factor of maxRateFactor of the configured initial rate.
-func (o Options) clampRate(rate, initialRate float64) float64 {
-	return min(initialRate*maxRateFactor, max(initialRate/maxRateFactor, rate))
 }
--- /dev/null
+++ b/internal/routing/planner/rates_test.go
@@ -0,0 +1,75 @@
+package planner_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+)
+
+// runOne submits a request for a prompt of 5000 tokens at a time and reports its prefill and decode.
+func runOne(
+	t *testing.T, p *planner.Planner, id uint64, now, prefill time.Duration, tokens int, decode time.Duration,
+) planner.DecodeCost {
+	t.Helper()
+	r := newRequest(id, now)
+	r.PromptTokens = 5000
+	if d := p.Submit(r, now); len(d) != 1 || d[0].Plan == nil {
+		t.Fatalf("request %d: got %+v, want a start", id, d)
+	}
+	p.RecordPrefill(id, prefill, now+prefill)
+	c, ok := p.RecordDecode(id, tokens, decode)
+	if !ok {
+		t.Fatalf("request %d: got no cost, want one", id)
+	}
+	p.End(id, now+prefill+decode)
+	return c
+}
+
+// The engines decode at a tenth of the assumed speed and below. The planner took runs for finished that had just begun
+// and filled the memory of the endpoints (benchmark: grown Fosseway, 146 tokens a second where 1550 are assumed). After
+// one response, the planner must know that an endpoint of 11000 tokens has no room for a second request.
+func TestSpeedOfSlowEnginesIsLearnedAtOnce(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(1, 1, 11000))
+	runOne(t, p, 1, 0, 120*time.Millisecond, 460, 3200*time.Millisecond)
+	running := newRequest(2, 10*time.Second)
+	running.PromptTokens, running.ExpectedOutputTokens = 5000, 460
+	if d := p.Submit(running, 10*time.Second); len(d) != 1 || d[0].Plan == nil {
+		t.Fatalf("got %+v, want a start on an idle endpoint", d)
+	}
+	waiting := newRequest(3, 12*time.Second)
+	waiting.PromptTokens, waiting.ExpectedOutputTokens = 5000, 460
+	if d := p.Submit(waiting, 12*time.Second); len(d) != 0 {
+		t.Errorf("got %+v, want the request to wait: the first one needs 3 s", d)
+	}
+}
+
+// The split of the endpoints follows from these costs. A cost that depended on assumed speeds would give slow engines
+// too few endpoints of one stage.
+func TestCostOfGenerationFollowsMeasurements(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(1, 1, 50000))
+	var c planner.DecodeCost
+	for i := range 40 {
+		c = runOne(t, p, uint64(i+1), time.Duration(i)*10*time.Second, 250*time.Millisecond, 460, 3*time.Second)
+	}
+	if c.PrefillTime < 240*time.Millisecond || c.PrefillTime > 260*time.Millisecond {
+		t.Errorf("got a prefill time of %v, want about 250 ms", c.PrefillTime)
+	}
+	// The generation fills 5460 of 45000 usable tokens for 3.25 s.
+	if c.DecodeSeconds < 0.38 || c.DecodeSeconds > 0.41 {
+		t.Errorf("got %.3f decode seconds, want about 0.394", c.DecodeSeconds)
+	}
+}
+
+// An endpoint that has a prompt cached answers at once. That says nothing about its speed for other prompts.
+func TestCachedPromptDoesNotMakeEndpointLookFast(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(1, 1, 50000))
+	c := runOne(t, p, 1, 0, time.Millisecond, 460, 3*time.Second)
+	if c.PrefillTime < 75*time.Millisecond {
+		t.Errorf("got a prefill time of %v after one cached prompt of 5000 tokens, want at least 75 ms", c.PrefillTime)
+	}
+}
--- a/internal/routing/rebalancer/rebalancer.go
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -1,15 +1,21 @@
-// Package rebalancer decides which model endpoints change their stage. Prefill processes tokens much faster than
-// decode generates them, so a fleet with a fixed fraction of prefill endpoints runs out of decode slots while its
-// prefill endpoints are idle. The number of prefill endpoints follows from the prompt tokens that the limits of all
-// client accounts allow together. The other endpoints become decode endpoints.
+// Package rebalancer decides which model endpoints change their stage. Every generation needs a prefill endpoint for a
+// while and a decode endpoint for longer; how long depends on the prompts, the responses and the engines. The rebalancer
+// splits the endpoints so that both stages reach their capacity at the same load: with any other split, one stage would
+// queue generations, or refuse them, while the other has endpoints to spare.
 //
-// One gateway, the leader, orders endpoints to change their stage, and only from prefill to decode.
+// The split follows the measured use of endpoint time and not the volume of the traffic, so that it holds for bursts of
+// the same kind of requests. An endpoint that changes its stage serves nothing for seconds. The split is therefore
+// changed only if it gains much.
+//
+// One gateway, the leader, orders endpoints to change their stage.
 package rebalancer
 
 import (
 	"math"
 	"sort"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 )
 
 // Endpoint describes a model endpoint. Prefill is set for a prefill endpoint, otherwise it is a decode endpoint.
@@ -19,14 +25,29 @@
 	Prefill bool
 }
 
+// Order tells an endpoint to change its stage. ToPrefill is set if it is to become a prefill endpoint, otherwise it is
+// to become a decode endpoint.
+type Order struct {
+	ID        string
+	ToPrefill bool
+}
+
+// RecentOrder is the latest order that any gateway gave to an endpoint, at the time At.
+type RecentOrder struct {
+	At        time.Duration
+	ToPrefill bool
+}
+
 // Options configures a rebalancer.
 type Options struct {
-	// PrefillRate is the prefill speed of an endpoint, in prompt tokens per second.
-	PrefillRate float64
-	// PromptFraction is the fraction of the tokens of a request that are prompt tokens.
-	PromptFraction float64
-	// MaxUtilization is the fraction of time that a prefill endpoint may be busy.
-	MaxUtilization float64
+	// MinGenerations is the number of measured generations below which no orders are given.
+	MinGenerations float64
+	// MaxPrefillUtilization is the fraction of time that a prefill endpoint may be busy at the capacity of the fleet.
+	// Above it, prompts wait for each other for too long.
+	MaxPrefillUtilization float64
+	// MinGain is the smallest ratio of the capacity after a change of the split to the capacity before it for which
+	// endpoints change their stage. It is above 1.
+	MinGain float64
 	// LeaderSettleTime is the time for which this gateway must have been the leader before it gives its first order.
 	LeaderSettleTime time.Duration
 	// MinOrderInterval is the time after an order of any gateway during which an endpoint gets no further order.
@@ -43,13 +64,13 @@
 	// valid only while leading is set.
 	leadingSince time.Duration
 	leading      bool
-	// lastOrderAt holds, by endpoint ID, the time of the latest order that any gateway gave to the endpoint.
-	lastOrderAt map[string]time.Duration
+	// lastOrders holds, by endpoint ID, the latest order that any gateway gave to the endpoint.
+	lastOrders map[string]RecentOrder
 }
 
 // New returns a rebalancer that knows no orders.
 func New(o Options) *Rebalancer {
-	return &Rebalancer{options: o, lastOrderAt: map[string]time.Duration{}}
+	return &Rebalancer{options: o, lastOrders: map[string]RecentOrder{}}
 }
 
 // UpdateLeadership records whether this gateway is the leader. It is the leader if leaderCandidate is set and more than
@@ -63,66 +84,106 @@
 	r.leading = leading
 }
 
-// RecordOrder records the time of an order that any gateway gave to an endpoint.
-func (r *Rebalancer) RecordOrder(id string, at time.Duration) {
-	r.lastOrderAt[id] = max(at, r.lastOrderAt[id])
+// RecordOrder records an order that any gateway gave to an endpoint. An older order than the known one is ignored.
+func (r *Rebalancer) RecordOrder(id string, o RecentOrder) {
+	if last, known := r.lastOrders[id]; !known || o.At > last.At {
+		r.lastOrders[id] = o
+	}
 }
 
-// RecentOrders returns, by endpoint ID, the times of the orders that are at most maxAge old. It deletes orders that are
-// older than twice maxAge.
-func (r *Rebalancer) RecentOrders(maxAge, now time.Duration) map[string]time.Duration {
-	recent := make(map[string]time.Duration)
-	for id, at := range r.lastOrderAt {
-		switch age := now - at; {
+// RecentOrders returns, by endpoint ID, the orders that are at most maxAge old. It deletes orders that are older than
+// twice maxAge.
+func (r *Rebalancer) RecentOrders(maxAge, now time.Duration) map[string]RecentOrder {
+	recent := make(map[string]RecentOrder)
+	for id, o := range r.lastOrders {
+		switch age := now - o.At; {
 		case age <= maxAge:
-			recent[id] = at
+			recent[id] = o
 		case age > 2*maxAge:
-			delete(r.lastOrderAt, id)
+			delete(r.lastOrders, id)
 		}
 	}
 	return recent
 }
 
-// SelectForDecode returns the IDs of the prefill endpoints that are to be ordered to become decode endpoints.
-// endpoints are the model endpoints of one service, and tokensPerSecond is the sum of the limits of all client
-// accounts. It returns nil unless this gateway has been the leader for long enough.
-func (r *Rebalancer) SelectForDecode(endpoints []Endpoint, tokensPerSecond float64, now time.Duration) []string {
+// SelectOrders returns the orders that improve the split of the model endpoints of one service, given the endpoint time
+// that its recent generations used. It returns nil unless this gateway has been the leader for long enough.
+func (r *Rebalancer) SelectOrders(endpoints []Endpoint, usage profiler.Usage, now time.Duration) []Order {
 	if !r.leading || now-r.leadingSince < r.options.LeaderSettleTime {
 		return nil
 	}
+	if len(endpoints) < 2 || usage.Generations < r.options.MinGenerations {
+		return nil
+	}
+	current := r.prefillCount(endpoints, now)
+	best := r.bestPrefillCount(len(endpoints), usage)
+	if r.capacity(best, len(endpoints), usage) < r.options.MinGain*r.capacity(current, len(endpoints), usage) {
+		return nil
+	}
+	if best > current {
+		return r.takeEndpoints(endpoints, true, best-current, now)
+	}
+	return r.takeEndpoints(endpoints, false, current-best, now)
+}
+
+// capacity returns how many times the measured usage the endpoints can serve per unit of time if the given number of
+// them are prefill endpoints. It is limited by the stage that reaches its capacity first.
+func (r *Rebalancer) capacity(prefill, endpoints int, u profiler.Usage) float64 {
+	prefillCapacity := r.options.MaxPrefillUtilization * float64(prefill) / max(u.PrefillSeconds, math.SmallestNonzeroFloat64)
+	decodeCapacity := float64(endpoints-prefill) / max(u.DecodeSeconds, math.SmallestNonzeroFloat64)
+	return min(prefillCapacity, decodeCapacity)
+}
+
+// bestPrefillCount returns the number of prefill endpoints with the highest capacity, at least one. At least one
+// endpoint is left for decode.
+func (r *Rebalancer) bestPrefillCount(endpoints int, u profiler.Usage) int {
+	best := 1
+	for n := 2; n < endpoints; n++ {
+		if r.capacity(n, endpoints, u) > r.capacity(best, endpoints, u) {
+			best = n
+		}
+	}
+	return best
+}
+
+// prefillCount returns the number of prefill endpoints once all orders under way are carried out.
+func (r *Rebalancer) prefillCount(endpoints []Endpoint, now time.Duration) int {
+	count := 0
+	for _, e := range endpoints {
+		prefill := e.Prefill
+		if r.recentlyOrdered(e.ID, now) {
+			prefill = r.lastOrders[e.ID].ToPrefill
+		}
+		if prefill {
+			count++
+		}
+	}
+	return count
+}
+
+// recentlyOrdered reports whether an endpoint was ordered so recently that its change of stage may not be finished.
+func (r *Rebalancer) recentlyOrdered(id string, now time.Duration) bool {
+	last, known := r.lastOrders[id]
+	return known && now-last.At < r.options.MinOrderInterval
+}
+
+// takeEndpoints returns orders for up to count endpoints of the other stage, spread over the failure domains.
+func (r *Rebalancer) takeEndpoints(endpoints []Endpoint, toPrefill bool, count int, now time.Duration) []Order {
 	byDomain := make(map[string][]string)
-	available := 0
 	for _, e := range endpoints {
-		if e.Prefill && !r.recentlyOrdered(e.ID, now) {
+		if e.Prefill != toPrefill && !r.recentlyOrdered(e.ID, now) {
 			byDomain[e.Domain] = append(byDomain[e.Domain], e.ID)
-			available++
 		}
 	}
-	spare := min(maxOrdersPerDecision, available-r.requiredPrefill(len(endpoints), tokensPerSecond))
-	var selected []string
-	for ; spare > 0; spare-- {
+	var orders []Order
+	for range min(maxOrdersPerDecision, count) {
 		id, ok := takeEndpoint(byDomain)
 		if !ok {
 			break
 		}
-		selected = append(selected, id)
+		orders = append(orders, Order{ID: id, ToPrefill: toPrefill})
 	}
-	return selected
-}
-
-// requiredPrefill returns how many prefill endpoints a service needs to process the prompt tokens that the limits
-// allow. It is at least one, and leaves at least one endpoint for decode.
-func (r *Rebalancer) requiredPrefill(endpoints int, tokensPerSecond float64) int {
-	required := int(math.Ceil(
-		tokensPerSecond * r.options.PromptFraction / (r.options.PrefillRate * r.options.MaxUtilization),
-	))
-	return min(endpoints-1, max(1, required))
-}
-
-// recentlyOrdered reports whether an endpoint was ordered so recently that its change of stage may not be finished.
-func (r *Rebalancer) recentlyOrdered(id string, now time.Duration) bool {
-	at, known := r.lastOrderAt[id]
-	return known && now-at < r.options.MinOrderInterval
+	return orders
 }
 
 // takeEndpoint removes one endpoint from the failure domain with the most endpoints and returns its ID. ok is false
