--- a/internal/routing/planner/latency.go
+++ b/internal/routing/planner/latency.go
@@ -10,6 +10,8 @@
 	// minLengthVariation is the standard deviation of the prompt lengths, as a fraction of their mean, below which the
 	// influence of the length cannot be told from that of the rest.
 	minLengthVariation = 0.15
+	// maxOverheadRatio limits the overhead: at least 1/maxOverheadRatio of the mean duration belongs to the prompt itself.
+	maxOverheadRatio = 4
 )
 
 // latencyModel separates the duration of uncontended prefills into a fixed overhead, such as the start of a step or the
@@ -31,17 +33,18 @@
 	m.lengthDuration = m.lengthDuration*latencyDecay + x*y
 }
 
-// overhead returns the part of the duration that does not depend on the length. It is zero while too little is known,
-// and less than the average duration.
-func (m *latencyModel) overhead() time.Duration {
+// fit returns the part of the duration that does not depend on the length, and the speed without it, in tokens per
+// second. ok is false while too little is known.
+func (m *latencyModel) fit() (overhead time.Duration, tokensPerSecond float64, ok bool) {
 	if m.weight < minLatencySamples {
-		return 0
+		return 0, 0, false
 	}
 	meanLength, meanDuration := m.length/m.weight, m.duration/m.weight
 	variance := m.lengthSquared/m.weight - meanLength*meanLength
 	if variance < minLengthVariation*minLengthVariation*meanLength*meanLength {
-		return 0
+		return 0, 0, false
 	}
 	slope := (m.lengthDuration/m.weight - meanLength*meanDuration) / variance
-	return time.Duration(max(0, meanDuration-max(0, slope)*meanLength) * float64(time.Second))
+	slope = min(meanDuration/meanLength, max(slope, meanDuration/meanLength/maxOverheadRatio))
+	return time.Duration((meanDuration - slope*meanLength) * float64(time.Second)), 1 / slope, true
 }
--- a/internal/routing/planner/load.go
+++ b/internal/routing/planner/load.go
@@ -50,7 +50,7 @@
 	n.peerLoads[peer] = peerLoad{Load: l, receivedAt: now}
 	if l.LastPrefill.ID != 0 && l.LastPrefill.ID != n.peerPrefillIDs[peer] {
 		n.peerPrefillIDs[peer] = l.LastPrefill.ID
-		p.updatePrefillRate(n, l.LastPrefill)
+		p.updatePrefillRate(n, l.LastPrefill, now)
 	}
 	p.mergePeerHealth(n, peer, l, now)
 }
@@ -83,7 +83,7 @@
 // ownLoad returns the load of this gateway on an endpoint. The backlog of a prefill endpoint is estimated from its
 // prefill speed, and is at most the prompt tokens whose prefill has not been reported as done.
 func (p *Planner) ownLoad(n *node, now time.Duration) Load {
-	l := Load{BacklogTokens: max(0, min(n.ownBacklogTokens, int((n.prefillDoneAt-now).Seconds()*n.prefillRate)))}
+	l := Load{BacklogTokens: max(0, min(n.ownBacklogTokens, int((n.prefillDoneAt-now).Seconds()*p.prefillRateOf(n, now))))}
 	for _, r := range n.ownRuns {
 		l.Runs = append(l.Runs, r.withAge(now))
 	}
--- a/internal/routing/planner/placement.go
+++ b/internal/routing/planner/placement.go
@@ -100,7 +100,7 @@
 		if useSharedEjections && n.sharedEjectionActive(w > 0, now) {
 			continue
 		}
-		cost := w + n.prefillTime(j.PromptTokens)
+		cost := w + p.prefillTimeAt(n, j.PromptTokens, now)
 		if n.Domain != domain {
 			cost += remotePrefillDelay
 		}
@@ -170,18 +170,19 @@
 // prefillWait returns the time until a prefill endpoint has processed the prompts that all gateways sent to it.
 func (p *Planner) prefillWait(n *node, now time.Duration) time.Duration {
 	wait := max(0, n.prefillDoneAt-now)
+	rate := p.prefillRateOf(n, now)
 	for _, l := range n.peerLoads {
 		age := now - l.receivedAt
 		if age < p.options.MaxLoadAge {
-			wait += max(0, n.prefillTime(l.BacklogTokens)-age)
+			wait += max(0, prefillTime(l.BacklogTokens, rate)-age)
 		}
 	}
 	return wait
 }
 
-// prefillTime returns how long the endpoint needs to process a prompt of the given length.
-func (n *node) prefillTime(tokens int) time.Duration {
-	return prefillTime(tokens, n.prefillRate)
+// prefillTimeAt returns how long a prompt of the given length keeps an endpoint busy.
+func (p *Planner) prefillTimeAt(n *node, tokens int, now time.Duration) time.Duration {
+	return prefillTime(tokens, p.prefillRateOf(n, now))
 }
 
 // prefillTime returns how long a prompt takes at a prefill speed in tokens per second.
@@ -205,7 +206,7 @@
 func (p *Planner) schedulePrefill(j *job, now time.Duration) {
 	if n, ok := p.nodes[prefillID(j.plan)]; ok {
 		j.uncontended = p.prefillWait(n, now) == 0
-		n.prefillDoneAt = max(now, n.prefillDoneAt) + n.prefillTime(j.PromptTokens)
+		n.prefillDoneAt = max(now, n.prefillDoneAt) + p.prefillTimeAt(n, j.PromptTokens, now)
 	}
 }
 
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -122,6 +122,8 @@
 	prefillDoneAt time.Duration
 	// prefillRate is the estimated prefill speed, in tokens per second, without the overhead of a prefill.
 	prefillRate float64
+	// prefillRateAt is the time of the latest measurement of prefillRate.
+	prefillRateAt time.Duration
 	// lastPrefill is the speed of the latest prefill of this gateway, which ended at lastPrefillAt.
 	lastPrefill   PrefillSample
 	lastPrefillAt time.Duration
@@ -152,10 +154,10 @@
 type Planner struct {
 	options Options
 	rand    *rand.Rand
-	// prefillRate is the prefill speed that is assumed of endpoints without measurements, in prompt tokens per second. It
-	// follows the measurements at other endpoints.
+	// prefillRate is the prefill speed that is assumed of endpoints, in prompt tokens per second, until the latency model
+	// of their service has enough measurements. It follows the measurements at all endpoints.
 	prefillRate float64
-	// latencyModels holds the overhead of prefills by service.
+	// latencyModels holds the model of the prefills of each service.
 	latencyModels map[string]*latencyModel
 	// decodeRate is the estimated decode speed of one request, in output tokens per second. decodeMeasured is set once it
 	// comes from a measurement.
--- a/internal/routing/planner/queue.go
+++ b/internal/routing/planner/queue.go
@@ -26,8 +26,8 @@
 
 // missesDeadline reports whether the first event would be late even if the request started now and without waiting.
 func (p *Planner) missesDeadline(j *job, now time.Duration) bool {
-	prefill := prefillTime(j.PromptTokens, p.prefillRate) + p.latencyModel(j.Service).overhead()
-	return now+prefill+p.options.FirstEventOverhead > j.FirstEventDeadline
+	overhead, rate := p.typicalPrefill(j.Service)
+	return now+overhead+prefillTime(j.PromptTokens, rate)+p.options.FirstEventOverhead > j.FirstEventDeadline
 }
 
 // queue returns the queue of a service and creates it if it does not exist.
--- a/internal/routing/planner/rates.go
+++ b/internal/routing/planner/rates.go
@@ -11,8 +11,13 @@
 	// maxFasterFactor limits how much faster than the estimate one prefill can count. An endpoint that has a part of the
 	// prompt cached processes it much faster than it could process others.
 	maxFasterFactor = 1.5
-	// maxOverheadRatio limits the part of a prefill that counts as overhead: at least 1/maxOverheadRatio is its own time.
-	maxOverheadRatio = 4
+	// slowEndpointRatio is the speed of an endpoint, relative to that of the others, below which it counts as slow. Smaller
+	// differences are within the variation of measurements under load: if they counted, the gateways would all prefer the
+	// same few endpoints.
+	slowEndpointRatio = 0.5
+	// slownessMemory is the time without measurements after which an endpoint no longer counts as slow. An endpoint that
+	// counts as slow gets few prompts, so nobody would notice otherwise that it has recovered.
+	slownessMemory = 4 * time.Second
 	// decodeSampleWeight is the weight of one response in the estimated decode speed, once one has been measured.
 	decodeSampleWeight = 0.05
 	// prefillReportTime is the time for which the latest prefill is reported to the peers.
@@ -56,7 +61,7 @@
 		TokensPerSecond: float64(j.PromptTokens) / duration.Seconds(), Uncontended: uncontended,
 	}
 	n.lastPrefillAt = now
-	p.updatePrefillRate(n, n.lastPrefill)
+	p.updatePrefillRate(n, n.lastPrefill, now)
 }
 
 // CancelPrefill records that the planned prefill of a request failed or will not run, so that it no longer counts as
@@ -92,10 +97,7 @@
 	if !known {
 		return DecodeCost{}, false
 	}
-	rate := p.prefillRate
-	if prefill, measured := p.nodes[prefillID(j.plan)]; measured {
-		rate = prefill.prefillRate
-	}
+	_, rate := p.typicalPrefill(j.Service)
 	c = DecodeCost{Service: j.Service, PrefillTime: prefillTime(j.PromptTokens, rate)}
 	c.DecodeSeconds = p.occupiedFraction(n, j.PromptTokens+tokens) * (duration + c.PrefillTime).Seconds()
 	return c, true
@@ -129,21 +131,41 @@
 	}
 }
 
-// updatePrefillRate moves the estimated prefill speed of an endpoint, and that assumed of unmeasured endpoints, towards
-// a sample. The speed is that of the prompt itself, without the overhead of a prefill.
-func (p *Planner) updatePrefillRate(n *node, s PrefillSample) {
+// updatePrefillRate moves the estimated prefill speed of an endpoint towards a sample. The speed is that of the prompt
+// itself, without the overhead of a prefill.
+func (p *Planner) updatePrefillRate(n *node, s PrefillSample, now time.Duration) {
 	m := p.latencyModel(n.Service)
-	if s.Uncontended && s.PromptTokens > 0 {
-		m.add(s.PromptTokens, s.duration())
+	duration := s.duration()
+	if s.Uncontended && duration > 0 {
+		m.add(s.PromptTokens, duration)
 	}
 	rate := s.TokensPerSecond
-	if duration := s.duration(); duration > 0 {
-		rate = float64(s.PromptTokens) / max(duration-m.overhead(), duration/maxOverheadRatio).Seconds()
+	if overhead, _, ok := m.fit(); ok && duration > overhead {
+		rate = float64(s.PromptTokens) / (duration - overhead).Seconds()
 	}
 	n.prefillRate = nextPrefillRate(n.prefillRate, rate, s.Uncontended)
+	n.prefillRateAt = now
 	p.prefillRate = nextPrefillRate(p.prefillRate, rate, s.Uncontended)
 }
 
+// typicalPrefill returns the overhead of a prefill and the speed that is assumed of the endpoints of a service.
+func (p *Planner) typicalPrefill(service string) (overhead time.Duration, rate float64) {
+	if overhead, rate, ok := p.latencyModel(service).fit(); ok {
+		return overhead, rate
+	}
+	return 0, p.prefillRate
+}
+
+// prefillRateOf returns the prefill speed that is expected of an endpoint: that of all endpoints of its service, unless
+// it was found to be slow recently.
+func (p *Planner) prefillRateOf(n *node, now time.Duration) float64 {
+	_, typical := p.typicalPrefill(n.Service)
+	if n.prefillRate < slowEndpointRatio*typical && now-n.prefillRateAt < slownessMemory {
+		return n.prefillRate
+	}
+	return typical
+}
+
 // latencyModel returns the model of the prefills of a service and creates it if it does not exist.
 func (p *Planner) latencyModel(service string) *latencyModel {
 	m, ok := p.latencyModels[service]
--- a/internal/routing/planner/rates_test.go
+++ b/internal/routing/planner/rates_test.go
@@ -101,3 +101,73 @@
 		}
 	}
 }
+
+// Measurements under load vary by a third although all endpoints are equally fast. Guards against gateways that take them
+// for the speeds of the endpoints and all prefer the same few.
+func TestPromptsAreSpreadDespiteVaryingMeasurements(t *testing.T) {
+	const prefillEndpoints, prompts = 5, 500
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(prefillEndpoints, 3, 500000))
+	rng := rand.New(rand.NewPCG(1, 2))
+	counts := map[string]int{}
+	for i := range prompts {
+		id, now := uint64(i+1), time.Duration(i)*500*time.Millisecond
+		r := newRequest(id, now)
+		r.PromptTokens = 2000 + rng.IntN(8000)
+		d := p.Submit(r, now)
+		if len(d) != 1 || d[0].Plan == nil || d[0].Plan.Prefill == nil {
+			t.Fatalf("request %d: got %+v, want a start with a prefill endpoint", id, d)
+		}
+		counts[d[0].Plan.Prefill.ID]++
+		whole := 93*time.Millisecond + time.Duration(r.PromptTokens)*24*time.Microsecond
+		p.RecordPrefill(id, time.Duration(float64(whole)*(0.67+0.66*rng.Float64())), now+whole)
+		p.End(id, now+whole)
+	}
+	// Endpoints of another failure domain than the decode endpoint get fewer prompts.
+	for id, n := range counts {
+		if n < prompts/prefillEndpoints/3 || n > 3*prompts/prefillEndpoints {
+			t.Errorf("endpoint %s got %d of %d prompts (%v), want about equal parts", id, n, prompts, counts)
+		}
+	}
+	if len(counts) != prefillEndpoints {
+		t.Errorf("got prompts at %d endpoints, want at all %d", len(counts), prefillEndpoints)
+	}
+}
+
+// An endpoint that works at a quarter of the speed of the others gets few prompts, and gets them again once it has
+// recovered. While it counted as slow it was hardly measured, so that it kept its estimate for good (benchmark: grown
+// Fosseway, scale-1: 3 of 13 prefill endpoints got no prompts while the others had queues of 0.5 s).
+func TestSlowEndpointIsAvoidedAndTriedAgain(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(3, 1, 500000))
+	rng := rand.New(rand.NewPCG(1, 2))
+	const slowUntil, end = 60 * time.Second, 120 * time.Second
+	duringSlowness, afterwards := 0, 0
+	id := uint64(0)
+	for now := time.Duration(0); now < end; now += 250 * time.Millisecond {
+		id++
+		r := newRequest(id, now)
+		r.PromptTokens = 2000 + rng.IntN(8000)
+		d := p.Submit(r, now)
+		if len(d) != 1 || d[0].Plan == nil || d[0].Plan.Prefill == nil {
+			t.Fatalf("request %d: got %+v, want a start with a prefill endpoint", id, d)
+		}
+		whole := 93*time.Millisecond + time.Duration(r.PromptTokens)*24*time.Microsecond
+		if d[0].Plan.Prefill.ID == "e00" {
+			if now < slowUntil {
+				whole *= 4
+				duringSlowness++
+			} else if now > slowUntil+10*time.Second {
+				afterwards++
+			}
+		}
+		p.RecordPrefill(id, whole, now+whole)
+		p.End(id, now+whole)
+	}
+	if duringSlowness > 60 {
+		t.Errorf("the slow endpoint got %d of 240 prompts, want at most 60", duringSlowness)
+	}
+	if afterwards < 40 {
+		t.Errorf("the endpoint got %d of 200 prompts after its recovery, want at least 40", afterwards)
+	}
+}
