Charge each repeated prefill to the retry budget, and wait for prefills as long as they are expected to take

Cause: after a lost KV cache one charge paid for two calls, a second prefill and a second decode, and a prefill was given up after 1.2 s also where its endpoint was only busy: the prompt was then processed twice. Change: mayPrefill charges every prefill call after the first of a generation; the timeout of a call follows from the expected duration in the plan.

--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -55,6 +55,12 @@
 // newTestEnv starts the prefill endpoint p1, the decode endpoints d1 and d2, the endpoints s1 and s2 of a plain
 // service, and a gateway. It waits until the gateway is ready and the account has tokens to spend.
 func newTestEnv(t *testing.T) *testEnv {
+	t.Helper()
+	return newTestEnvWithRetries(t, 0.2, 500, 10*time.Second)
+}
+
+// newTestEnvWithRetries is newTestEnv with a retry budget of its own.
+func newTestEnvWithRetries(t *testing.T, perRequest, extra float64, window time.Duration) *testEnv {
 	t.Helper()
 	env := &testEnv{
 		t: t, store: standin.NewStore(), log: &lockedBuffer{},
@@ -76,8 +82,8 @@
 	s := platform.Settings{
 		Name: "g", Domain: "a", GossipAddr: self, SeedAddrs: []netip.AddrPort{self}, StoreAddr: env.store.Address(),
 		Bounds: platform.Bounds{
-			DrainGrace: 8 * time.Second, RevokeDeadline: 5 * time.Second, RetriesPerRequest: 0.2,
-			ExtraRetries: 500, RetryWindow: 10 * time.Second,
+			DrainGrace: 8 * time.Second, RevokeDeadline: 5 * time.Second, RetriesPerRequest: perRequest,
+			ExtraRetries: extra, RetryWindow: window,
 			LimitOverageRatio: 0.25, LimitSlackTokens: 1e6, LimitWindow: 8 * time.Second,
 		},
 	}
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -10,14 +10,17 @@
 )
 
 const (
-	// maxPrefillAttempts limits the prefill attempts that precede one decode attempt.
+	// maxPrefillAttempts limits the prefill attempts of a generation.
 	maxPrefillAttempts = 3
 	// maxDecodeAttempts limits the decode attempts of a generation.
 	maxDecodeAttempts = 4
 	// maxLostKVCaches is the number of lost KV caches after which the decode endpoint prefills the prompt itself.
 	maxLostKVCaches = 2
-	// prefillTimeout limits a prefill attempt, including the time queued at the endpoint.
-	prefillTimeout = 1200 * time.Millisecond
+	// A prefill attempt, including the time queued at the endpoint, is limited to minPrefillTimeout plus
+	// prefillTimeoutFactor times its expected duration. A prompt that is sent elsewhere because its endpoint is busy is
+	// processed twice, which makes all endpoints busier.
+	minPrefillTimeout    = 800 * time.Millisecond
+	prefillTimeoutFactor = 2
 	// kvTransferMargin is subtracted from the lifetime of a KV cache, for its transfer to the decode endpoint.
 	kvTransferMargin = 60 * time.Millisecond
 	// firstEventTimeoutFactor times the latency target is how long a caller is assumed to wait for the first event.
@@ -48,6 +51,8 @@
 	reservedOn    *planner.Endpoint
 	// lostKVCaches counts the KV caches that a decode endpoint could not take.
 	lostKVCaches int
+	// prefillAttempts counts the prefill calls.
+	prefillAttempts int
 	// executions counts the attempts in which a decode endpoint may have run the request.
 	executions int
 	// relay copies the events to the caller.
@@ -210,17 +215,28 @@
 	}
 }
 
+// mayPrefill reports whether a prefill call may be made. The first call of a generation is free; each further one is
+// taken from the retry budget.
+func (f *Forwarder) mayPrefill(g *generation) bool {
+	if g.lostKVCaches >= maxLostKVCaches || g.prefillAttempts >= maxPrefillAttempts {
+		return false
+	}
+	return g.prefillAttempts == 0 || f.controller.SpendRetryBudget(g.service)
+}
+
 // prefill runs the prompt at a prefill endpoint, unless there is a KV cache already or the plan has no prefill
-// endpoint. After failed attempts it leaves the prefill to the decode endpoint. It returns outcomeAnswered if the
-// decode can start, and outcomeAbandoned if the caller's context has ended.
+// endpoint. If no further prefill call may be made, it leaves the prefill to the decode endpoint. It returns
+// outcomeAnswered if the decode can start, and outcomeAbandoned if the caller's context has ended.
 func (f *Forwarder) prefill(ctx context.Context, g *generation) outcome {
-	if g.lostKVCaches >= maxLostKVCaches {
-		g.plan.Prefill = nil
-	}
-	for n := 0; g.kvSource == "" && g.plan.Prefill != nil; n++ {
+	for g.kvSource == "" && g.plan.Prefill != nil {
+		if !f.mayPrefill(g) {
+			g.plan.Prefill = nil
+			return outcomeAnswered
+		}
+		g.prefillAttempts++
 		e := g.plan.Prefill
 		g.record.prefillEndpoint = e.ID
-		prefillCtx, cancel := context.WithTimeout(ctx, prefillTimeout)
+		prefillCtx, cancel := context.WithTimeout(ctx, minPrefillTimeout+prefillTimeoutFactor*g.plan.PrefillTime)
 		startedAt := f.clock()
 		kvSource, response, err := f.endpointClient.Prefill(prefillCtx, e.Address, Attempt{
 			Request: g.Request, EndpointID: e.ID, Account: g.accountName(), TimeBudget: f.timeLeft(g.job),
@@ -246,11 +262,6 @@
 			return outcomeAbandoned
 		}
 		f.handlePrefillFailure(g, e, response, err)
-		if n+1 >= maxPrefillAttempts || !f.controller.SpendRetryBudget(g.service) {
-			// The decode endpoint prefills the prompt itself.
-			g.plan.Prefill = nil
-			return outcomeAnswered
-		}
 		f.findPlan(g, true, e.ID)
 	}
 	return outcomeAnswered
--- a/internal/routing/planner/placement.go
+++ b/internal/routing/planner/placement.go
@@ -39,10 +39,17 @@
 	if wait > p.options.MaxPrefillWait {
 		return nil
 	}
-	plan.Prefill = copyEndpoint(prefill)
+	plan.Prefill, plan.PrefillTime = copyEndpoint(prefill), p.expectedPrefill(prefill, j, wait, now)
 	return plan
 }
 
+// expectedPrefill returns the expected time until a prefill endpoint has processed the prompt of a request that has to
+// wait there.
+func (p *Planner) expectedPrefill(n *node, j *job, wait, now time.Duration) time.Duration {
+	overhead, _ := p.typicalPrefill(n.Service)
+	return wait + overhead + p.prefillTimeAt(n, j.PromptTokens, now)
+}
+
 func copyEndpoint(n *node) *Endpoint {
 	e := n.Endpoint
 	return &e
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -63,6 +63,9 @@
 	// Prefill is nil if the decode endpoint runs the prefill itself.
 	Prefill *Endpoint
 	Decode  *Endpoint
+	// PrefillTime is the expected time until the prefill endpoint has processed the prompt, including its wait for other
+	// prompts. It is zero without a prefill endpoint.
+	PrefillTime time.Duration
 	// LowCapacity is set if the endpoints have so little room left, or are so likely to fail, that the peers should
 	// learn of the start immediately instead of with the next periodic message.
 	LowCapacity bool
@@ -318,9 +321,8 @@
 	j.plan = &Plan{Prefill: old.Prefill, Decode: decode}
 	if newPrefill {
 		j.plan.Prefill = nil
-		if n, _ := p.pickPrefill(j, decode.Domain, excludedID, now); n != nil {
-			e := n.Endpoint
-			j.plan.Prefill = &e
+		if n, wait := p.pickPrefill(j, decode.Domain, excludedID, now); n != nil {
+			j.plan.Prefill, j.plan.PrefillTime = copyEndpoint(n), p.expectedPrefill(n, j, wait, now)
 		}
 	}
 	p.assign(j, newPrefill && j.plan.Prefill != nil, now)
--- a/internal/routing/planner/rates_test.go
+++ b/internal/routing/planner/rates_test.go
@@ -171,3 +171,20 @@
 		t.Errorf("the endpoint got %d of 200 prompts after its recovery, want at least 40", afterwards)
 	}
 }
+
+// Guards against prefills that are given up and sent elsewhere only because their endpoint is busy: the plan must say
+// how long the prefill will take, including the prompts that other gateways have sent to the endpoint.
+func TestPlanTellsExpectedPrefillTime(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(1, 1, 500000))
+	p.UpdatePeerLoads("b", map[string]planner.Load{"e00": {BacklogTokens: 20000}}, 0)
+	r := newRequest(1, 0)
+	r.PromptTokens = 5000
+	d := p.Submit(r, 0)
+	if len(d) != 1 || d[0].Plan == nil {
+		t.Fatalf("got %+v, want a start", d)
+	}
+	if got, want := d[0].Plan.PrefillTime, 500*time.Millisecond; got < want*9/10 || got > want*11/10 {
+		t.Errorf("got an expected prefill time of %v, want about %v", got, want)
+	}
+}
