--- a/internal/routing/rebalancer/rebalancer.go
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -42,9 +42,10 @@
 type Options struct {
 	// MinGenerations is the number of measured generations below which no orders are given.
 	MinGenerations float64
-	// MaxPrefillUtilization is the fraction of time that a prefill endpoint may be busy at the capacity of the fleet.
-	// Above it, prompts wait for each other for too long.
-	MaxPrefillUtilization float64
+	// PrefillReserve is the number of prefill endpoints, relative to the square root of their number, that must be idle
+	// on average at the capacity of the fleet. With less, prompts that arrive at random wait for each other for too long.
+	// Many endpoints need a smaller part of them idle than few.
+	PrefillReserve float64
 	// MinGain is the smallest ratio of the capacity after a change of the split to the capacity before it for which
 	// endpoints change their stage. It is above 1.
 	MinGain float64
@@ -54,8 +55,9 @@
 	MinOrderInterval time.Duration
 }
 
-// maxOrdersPerDecision limits the orders given at a time, because each one is sent to all peers.
-const maxOrdersPerDecision = 4
+// minEndpointsPerChange is the number of endpoints of a service for each one that may change its stage at the same time.
+// At least one may.
+const minEndpointsPerChange = 10
 
 // Rebalancer decides about orders for one gateway. It is not safe for concurrent use.
 type Rebalancer struct {
@@ -115,21 +117,23 @@
 	if len(endpoints) < 2 || usage.Generations < r.options.MinGenerations {
 		return nil
 	}
-	current := r.prefillCount(endpoints, now)
+	current, underway := r.prefillCount(endpoints, now)
+	allowed := max(1, len(endpoints)/minEndpointsPerChange) - underway
 	best := r.bestPrefillCount(len(endpoints), usage)
 	if r.capacity(best, len(endpoints), usage) < r.options.MinGain*r.capacity(current, len(endpoints), usage) {
 		return nil
 	}
 	if best > current {
-		return r.takeEndpoints(endpoints, true, best-current, now)
+		return r.takeEndpoints(endpoints, true, min(allowed, best-current), now)
 	}
-	return r.takeEndpoints(endpoints, false, current-best, now)
+	return r.takeEndpoints(endpoints, false, min(allowed, current-best), now)
 }
 
 // capacity returns how many times the measured usage the endpoints can serve per unit of time if the given number of
 // them are prefill endpoints. It is limited by the stage that reaches its capacity first.
 func (r *Rebalancer) capacity(prefill, endpoints int, u profiler.Usage) float64 {
-	prefillCapacity := r.options.MaxPrefillUtilization * float64(prefill) / max(u.PrefillSeconds, math.SmallestNonzeroFloat64)
+	busy := max(0, float64(prefill)-r.options.PrefillReserve*math.Sqrt(float64(prefill)))
+	prefillCapacity := busy / max(u.PrefillSeconds, math.SmallestNonzeroFloat64)
 	decodeCapacity := float64(endpoints-prefill) / max(u.DecodeSeconds, math.SmallestNonzeroFloat64)
 	return min(prefillCapacity, decodeCapacity)
 }
@@ -146,19 +150,20 @@
 	return best
 }
 
-// prefillCount returns the number of prefill endpoints once all orders under way are carried out.
-func (r *Rebalancer) prefillCount(endpoints []Endpoint, now time.Duration) int {
-	count := 0
+// prefillCount returns the number of prefill endpoints once all orders under way are carried out, and the number of
+// these orders.
+func (r *Rebalancer) prefillCount(endpoints []Endpoint, now time.Duration) (prefill, underway int) {
 	for _, e := range endpoints {
-		prefill := e.Prefill
-		if r.recentlyOrdered(e.ID, now) {
-			prefill = r.lastOrders[e.ID].ToPrefill
+		becomesPrefill := e.Prefill
+		if r.recentlyOrdered(e.ID, now) && r.lastOrders[e.ID].ToPrefill != e.Prefill {
+			becomesPrefill = !e.Prefill
+			underway++
 		}
-		if prefill {
-			count++
+		if becomesPrefill {
+			prefill++
 		}
 	}
-	return count
+	return prefill, underway
 }
 
 // recentlyOrdered reports whether an endpoint was ordered so recently that its change of stage may not be finished.
@@ -176,7 +181,7 @@
 		}
 	}
 	var orders []Order
-	for range min(maxOrdersPerDecision, count) {
+	for range max(0, count) {
 		id, ok := takeEndpoint(byDomain)
 		if !ok {
 			break
