--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -125,7 +125,7 @@
 func edgeOptions(s platform.Settings) daemon.Options {
 	return daemon.Options{
 		Name: s.Name, Domain: s.Domain, GossipAddr: s.GossipAddr, SeedAddrs: s.SeedAddrs,
-		DrainGrace: s.Bounds.DrainGrace, RevokeDeadline: s.Bounds.RevokeDeadline,
+		FirstStart: s.FirstStart, DrainGrace: s.Bounds.DrainGrace, RevokeDeadline: s.Bounds.RevokeDeadline,
 		Limits: capper.Options{
 			Window: s.Bounds.LimitWindow, OverageRatio: s.Bounds.LimitOverageRatio, SlackTokens: s.Bounds.LimitSlackTokens,
 			PeerTimeout: time.Second, PeerTimeoutPerGateway: peerTimeoutPerGateway,
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -48,6 +48,8 @@
 	GossipAddr netip.AddrPort
 	// SeedAddrs are the gossip addresses of gateways that are contacted first to find the others.
 	SeedAddrs []netip.AddrPort
+	// FirstStart is set if the whole system starts for the first time, so that no generation has been served yet.
+	FirstStart bool
 	// DrainGrace is the time in which a stopping process must end.
 	DrainGrace time.Duration
 	// RevokeDeadline is the time within which a withdrawn key must stop working.
@@ -120,6 +122,8 @@
 	// The initial rates of prefill and decode are assumed until endpoints have been measured.
 	initialPrefillTokensPerSecond = 50000
 	initialDecodeTokensPerSecond  = 1550
+	// minMeasuredGenerations is how many generations must have been measured before the split of the stages follows them.
+	minMeasuredGenerations = 60
 	// peerTimeout is the age of the last message above which a peer does not count as active.
 	peerTimeout = 1500 * time.Millisecond
 	// crashBlameWindow is how long a crash counts against the request that ran at the time.
@@ -176,7 +180,7 @@
 		Planner:  planner.New(plannerOptions(o.Domain), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		Balancer: balancer.New(o.Domain), Capper: capper.New(o.Limits, clock.SinceBoot()),
 		Retrier: retrier.New(o.RetryBudget), Rebalancer: rebalancer.New(rebalancerOptions()),
-		Profiler: profiler.New(profilerOptions()), Fencer: fencer.New(),
+		Profiler: profiler.New(profilerOptions()), Fencer: fencer.New(), InitialUsage: initialUsage(o.FirstStart),
 		CrashTracker: crashtracker.New(crashBlameWindow, maxBlamedRequests), Log: logger,
 	})
 	maxConfigAgeForKeys := o.RevokeDeadline - revocationMargin
@@ -200,11 +204,20 @@
 
 func rebalancerOptions() rebalancer.Options {
 	return rebalancer.Options{
-		MinGenerations: 60, PrefillReserve: 0.5, MinGain: 1.1, UrgentGain: 1.5,
+		MinGenerations: minMeasuredGenerations, PrefillReserve: 0.5, MinGain: 1.1, UrgentGain: 1.5,
 		LeaderSettleTime: 4 * time.Second, MinOrderInterval: 15 * time.Second,
 	}
 }
 
+// initialUsage returns the use of endpoint time that is assumed before the first generation: three times as much for
+// decode as for prefill. It is zero after a restart, because the split may have been adapted to the traffic since.
+func initialUsage(firstStart bool) profiler.Usage {
+	if !firstStart {
+		return profiler.Usage{}
+	}
+	return profiler.Usage{Generations: minMeasuredGenerations, PrefillSeconds: 1, DecodeSeconds: 3}
+}
+
 func profilerOptions() profiler.Options {
 	return profiler.Options{DecayTime: 20 * time.Second, MaxPeerAge: 3 * time.Second}
 }
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -59,6 +59,9 @@
 	Profiler     *profiler.Profiler
 	Fencer       *fencer.Fencer
 	CrashTracker *crashtracker.CrashTracker
+	// InitialUsage is the use of endpoint time that is assumed until the first generation was measured. Zero means that
+	// nothing is assumed.
+	InitialUsage profiler.Usage
 	Log          *log.Logger
 }
 
@@ -78,6 +81,8 @@
 	profiler     *profiler.Profiler
 	fencer       *fencer.Fencer
 	crashTracker *crashtracker.CrashTracker
+	// initialUsage is the assumed use of endpoint time. It is zero once a generation was measured at any gateway.
+	initialUsage profiler.Usage
 	// config is the active configuration, or nil before the first one. endpoints is the endpoint list.
 	config    *matcher.Matcher
 	endpoints []lister.Endpoint
@@ -103,7 +108,8 @@
 func New(c Components) *Controller {
 	return &Controller{
 		clock: c.Clock, tracker: c.Tracker, planner: c.Planner, balancer: c.Balancer, capper: c.Capper, retrier: c.Retrier,
-		rebalancer: c.Rebalancer, profiler: c.Profiler, fencer: c.Fencer, crashTracker: c.CrashTracker, log: c.Log,
+		rebalancer: c.Rebalancer, profiler: c.Profiler, fencer: c.Fencer, crashTracker: c.CrashTracker,
+		initialUsage: c.InitialUsage, log: c.Log,
 		pendingDecisions: map[uint64]chan planner.Decision{}, peers: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
--- a/internal/routing/controller/stages.go
+++ b/internal/routing/controller/stages.go
@@ -48,7 +48,7 @@
 	}
 	var changes []StageChange
 	for service, endpoints := range byService {
-		usage := c.profiler.Total(service, now)
+		usage := c.usage(service, now)
 		orders := c.rebalancer.SelectOrders(endpoints, usage, c.planner.QueueLength() > 0, now)
 		for _, o := range orders {
 			c.rebalancer.RecordOrder(o.ID, rebalancer.RecentOrder{At: now, ToPrefill: o.ToPrefill})
@@ -66,6 +66,17 @@
 	return changes
 }
 
+// usage returns the endpoint time that recent generations of a service used, or the assumed one before the first
+// generation. The lock must be held.
+func (c *Controller) usage(service string, now time.Duration) profiler.Usage {
+	u := c.profiler.Total(service, now)
+	if u.Generations > 0 {
+		c.initialUsage = profiler.Usage{}
+		return u
+	}
+	return c.initialUsage
+}
+
 // NextFencingToken returns a fencing token that is higher than all that this gateway has used or learned of from its
 // peers. The tokens of two gateways differ.
 func (c *Controller) NextFencingToken(gateway string, wallTime time.Time) int64 {
