--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -83,13 +83,14 @@
 	// number of store calls does not grow with the fleet.
 	configWaitPerGateway = 300 * time.Millisecond
 	minConfigWait        = 1800 * time.Millisecond
-	maxConfigWait        = 6 * time.Second
-	// listReaders is how many gateways pause only listReaderPause between two reads of the endpoint list. The others
-	// pause listNonReaderPause and receive changes from the readers.
-	listReaders = 4
-	// listWatchTimeout is the longest wait of a watch of the endpoint list.
-	listWatchTimeout   = 1500 * time.Millisecond
+	maxConfigWait        = 25 * time.Second
+	// listReaders is how many gateways pause only listReaderPause between two reads of the endpoint list, and wait up to
+	// listReaderWait for changes. The others pause listNonReaderPause, wait up to listNonReaderWait and receive changes
+	// from the readers meanwhile.
+	listReaders        = 4
+	listReaderWait     = 1500 * time.Millisecond
 	listReaderPause    = 900 * time.Millisecond
+	listNonReaderWait  = 12 * time.Second
 	listNonReaderPause = 5 * time.Second
 	// changeGossipPeriod is how long a change of the endpoint list is sent to peers.
 	changeGossipPeriod = 3 * time.Second
@@ -177,8 +178,8 @@
 	}
 	d.controller = controller.New(controller.Components{
 		Clock: clock.SinceBoot, Tracker: d.tracker,
-		Planner:  planner.New(plannerOptions(o.Domain), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Balancer: balancer.New(o.Domain), Capper: capper.New(o.Limits, clock.SinceBoot()),
+		Planner:  planner.New(plannerOptions(o.Domain), newRand()),
+		Balancer: balancer.New(o.Domain, newRand()), Capper: capper.New(o.Limits, clock.SinceBoot()),
 		Retrier: retrier.New(o.RetryBudget), Rebalancer: rebalancer.New(rebalancerOptions()),
 		Profiler: profiler.New(profilerOptions()), Fencer: fencer.New(), InitialUsage: initialUsage(o.FirstStart),
 		CrashTracker: crashtracker.New(crashBlameWindow, maxBlamedRequests), Log: logger,
@@ -194,6 +195,11 @@
 	return d
 }
 
+// newRand returns a generator with a random seed.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
 func plannerOptions(domain string) planner.Options {
 	return planner.Options{
 		Domain: domain, PrefillRate: initialPrefillTokensPerSecond, FirstEventOverhead: 60 * time.Millisecond,
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -19,13 +19,14 @@
 	return maxWait/3 + rand.N(maxWait*2/3), 0
 }
 
-// endpointPace returns the longest wait of a watch of the endpoint list, and the pause between two reads. The pause is
-// short only for the active gateways of the lowest ranks.
+// endpointPace returns the longest wait of a watch of the endpoint list, and the pause between two reads. Both are short
+// only for the active gateways of the lowest ranks. The others wait a random time, so that their calls to the store are
+// spread.
 func (d *Daemon) endpointPace() (wait, pause time.Duration) {
 	if rank, _ := d.broadcaster.Rank(peerTimeout); rank >= listReaders {
-		return listWatchTimeout, listNonReaderPause
+		return listNonReaderWait/2 + rand.N(listNonReaderWait/2), listNonReaderPause
 	}
-	return listWatchTimeout, listReaderPause
+	return listReaderWait, listReaderPause
 }
 
 // Compose returns the state to send to a peer: that of the controller and the latest changes of the endpoint list. The
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -1,9 +1,15 @@
 // Package balancer chooses endpoints of plain services. It prefers the least loaded endpoint, endpoints of its own
 // failure domain while they are not busier, and endpoints whose requests do not fail.
+//
+// It is designed for a hundred gateways and more that share a few endpoints. A gateway then learns of the requests of
+// the others so late that the endpoint that was the least loaded one no longer is. The older the reports are and the
+// more requests the fleet sends, the more evenly it spreads its requests (M. Dahlin, Interpreting Stale Load
+// Information).
 package balancer
 
 import (
 	"math"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -26,6 +32,8 @@
 	// failureDecayTime is the time constant with which the failure ratio of an endpoint decays while it gets no
 	// requests.
 	failureDecayTime = 3 * time.Second
+	// arrivalDecayTime is the time constant with which the count of requests decays.
+	arrivalDecayTime = time.Second
 )
 
 // Endpoint describes an endpoint of a plain service.
@@ -69,13 +77,21 @@
 	// nodes holds all endpoints by ID, sortedNodes the same endpoints ordered by ID.
 	nodes       map[string]*node
 	sortedNodes []*node
-	// rotation is the position at which the next search starts, so that endpoints of equal cost take turns.
-	rotation int
+	// gateways is the number of gateways that send requests to the endpoints, at least one.
+	gateways int
+	// arrivals holds the recent requests of this gateway by service.
+	arrivals map[string]arrivals
+	rand     *rand.Rand
+	// candidates is reused between calls to avoid allocations.
+	candidates []candidate
 }
 
-// New returns a balancer without endpoints for a gateway in the given failure domain.
-func New(domain string) *Balancer {
-	return &Balancer{domain: domain, nodes: map[string]*node{}}
+// New returns a balancer without endpoints for a gateway in the given failure domain. r chooses randomly among
+// endpoints.
+func New(domain string, r *rand.Rand) *Balancer {
+	return &Balancer{
+		domain: domain, nodes: map[string]*node{}, gateways: 1, arrivals: map[string]arrivals{}, rand: r,
+	}
 }
 
 // SetEndpoints replaces the endpoints that new requests may be sent to. Requests that run on removed endpoints
@@ -103,11 +119,17 @@
 	sort.Slice(b.sortedNodes, func(i, j int) bool { return b.sortedNodes[i].ID < b.sortedNodes[j].ID })
 }
 
+// SetGateways sets the number of gateways that send requests to the endpoints, this one included.
+func (b *Balancer) SetGateways(gateways int) {
+	b.gateways = max(1, gateways)
+}
+
 // Acquire chooses an endpoint of a service and counts a request on it until Release. Endpoints in excludedIDs, which
 // have failed the request before, are not chosen. Ejected endpoints are chosen only if there is no other, because
 // all may be ejected and one of them may work again. Acquire returns nil if all endpoints are excluded or none
 // exists.
 func (b *Balancer) Acquire(service string, excludedIDs map[string]bool, now time.Duration) *Endpoint {
+	b.recordArrival(service, now)
 	n := b.selectNode(service, excludedIDs, now, false)
 	if n == nil {
 		n = b.selectNode(service, excludedIDs, now, true)
@@ -120,34 +142,99 @@
 	return &e
 }
 
-// selectNode returns the endpoint of a service with the lowest cost, or nil. Ejected endpoints are considered only
-// if includeEjected is set.
+// arrivals is the decaying count of requests of one service at this gateway, as of a time.
+type arrivals struct {
+	count float64
+	at    time.Duration
+}
+
+// recordArrival counts a request of a service.
+func (b *Balancer) recordArrival(service string, now time.Duration) {
+	a := b.arrivals[service]
+	b.arrivals[service] = arrivals{count: a.decayed(now) + 1, at: now}
+}
+
+// decayed returns the count, decayed to the current time.
+func (a arrivals) decayed(now time.Duration) float64 {
+	return a.count * math.Exp(-(now-a.at).Seconds()/arrivalDecayTime.Seconds())
+}
+
+// selectNode returns an endpoint of a service, or nil. Ejected endpoints are considered only if includeEjected is set.
 func (b *Balancer) selectNode(
 	service string, excludedIDs map[string]bool, now time.Duration, includeEjected bool,
 ) *node {
-	var best *node
-	bestCost := math.Inf(1)
-	b.rotation++
-	for i := range b.sortedNodes {
-		n := b.sortedNodes[(i+b.rotation)%len(b.sortedNodes)]
+	b.candidates = b.candidates[:0]
+	knownRequests, known, reportAge := 0, 0, time.Duration(0)
+	for _, n := range b.sortedNodes {
 		if n.Service != service || n.removed || excludedIDs[n.ID] || (!includeEjected && now < n.ejectedUntil) {
 			continue
 		}
-		if c := b.cost(n, now); c < bestCost {
-			best, bestCost = n, c
+		b.candidates = append(b.candidates, candidate{node: n})
+		age := now - n.reportedAt
+		reportAge += min(age, maxReportAge)
+		if age < maxReportAge {
+			knownRequests += n.peerRequests
+			known++
+		}
+	}
+	if len(b.candidates) == 0 {
+		return nil
+	}
+	meanPeerRequests := float64(knownRequests) / float64(max(1, known))
+	for i := range b.candidates {
+		b.candidates[i].cost = b.cost(b.candidates[i].node, meanPeerRequests, now)
+	}
+	meanAge := reportAge / time.Duration(len(b.candidates))
+	peerRate := b.arrivals[service].decayed(now) / arrivalDecayTime.Seconds() * float64(b.gateways-1)
+	return b.pick(1 + peerRate*meanAge.Seconds())
+}
+
+// candidate is an endpoint that may be chosen and its cost.
+type candidate struct {
+	node *node
+	cost float64
+}
+
+// pick draws one of the candidates. unseen is the number of requests of all gateways that the reported loads do not
+// contain yet, including the new one. The draw sends as many of them to each candidate as make the costs of the
+// cheapest ones equal: with fresh reports, the cheapest candidate gets the request; with old ones, all gateways would
+// send their requests to the same candidate, so the draw spreads them.
+func (b *Balancer) pick(unseen float64) *node {
+	sort.Slice(b.candidates, func(i, j int) bool { return b.candidates[i].cost < b.candidates[j].cost })
+	level := b.candidates[0].cost
+	slots, filled := 0.0, 0
+	for remaining := unseen; filled < len(b.candidates); {
+		slots += float64(max(1, b.candidates[filled].node.Slots))
+		filled++
+		if filled == len(b.candidates) || (b.candidates[filled].cost-level)*slots >= remaining {
+			level += remaining / slots
+			break
+		}
+		remaining -= (b.candidates[filled].cost - level) * slots
+		level = b.candidates[filled].cost
+	}
+	draw := b.rand.Float64() * unseen
+	for _, c := range b.candidates[:filled] {
+		draw -= (level - c.cost) * float64(max(1, c.node.Slots))
+		if draw < 0 {
+			return c.node
 		}
 	}
-	return best
+	return b.candidates[0].node
 }
 
 // cost returns the cost of sending a request to an endpoint: its requests in progress per slot including the new
-// one, increased for another failure domain and for recent failures.
-func (b *Balancer) cost(n *node, now time.Duration) float64 {
-	requests := n.ownRequests
-	if now-n.reportedAt < maxReportAge {
-		requests += n.peerRequests
+// one, increased for another failure domain and for recent failures. An endpoint whose report is too old is assumed to run
+// as many requests of peers as the others do on average, one that has never reported is assumed to run none.
+func (b *Balancer) cost(n *node, meanPeerRequests float64, now time.Duration) float64 {
+	requests := float64(n.ownRequests + 1)
+	switch {
+	case now-n.reportedAt < maxReportAge:
+		requests += float64(n.peerRequests)
+	case n.reportedAt > 0:
+		requests += meanPeerRequests
 	}
-	cost := float64(requests+1) / float64(max(1, n.Slots))
+	cost := requests / float64(max(1, n.Slots))
 	if n.Domain != b.domain {
 		cost += remoteDomainCost
 	}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -101,7 +101,7 @@
 	}
 	if !c.peers[m.From] {
 		c.peers[m.From] = true
-		c.retrier.SetGateways(len(c.peers) + 1)
+		c.setGateways(len(c.peers) + 1)
 	}
 	c.capper.ReceiveTotals(m.From, m.Incarnation, m.AdmittedTotals, m.AllAccounts, now)
 	c.capper.AdoptAvailableTokens(m.AvailableTokens, now)
@@ -187,5 +187,11 @@
 	delete(c.peers, peer)
 	c.planner.RemovePeer(peer)
 	c.profiler.RemovePeer(peer)
-	c.retrier.SetGateways(len(c.peers) + 1)
+	c.setGateways(len(c.peers) + 1)
+}
+
+// setGateways tells the parts that share something among all gateways how many there are. The lock must be held.
+func (c *Controller) setGateways(gateways int) {
+	c.retrier.SetGateways(gateways)
+	c.balancer.SetGateways(gateways)
 }
--- a/internal/routing/controller/stages_test.go
+++ b/internal/routing/controller/stages_test.go
@@ -40,7 +40,7 @@
 			Domain: "a", PrefillRate: 50000, DecodeRate: 1550, MaxMemoryFraction: 0.9, MaxPrefillWait: 450 * time.Millisecond,
 			MaxQueueWait: 2500 * time.Millisecond, MaxLoadAge: 1500 * time.Millisecond,
 		}, rand.New(rand.NewPCG(1, 1))),
-		Balancer: balancer.New("a"), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
+		Balancer: balancer.New("a", rand.New(rand.NewPCG(1, 1))), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
 		Retrier: retrier.New(retrier.Options{Window: time.Second}),
 		Rebalancer: rebalancer.New(rebalancer.Options{
 			MinGenerations: 20, PrefillReserve: 0.5, MinGain: 1.1, UrgentGain: 1.5, LeaderSettleTime: 4 * time.Second,
