--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -102,11 +102,13 @@
 	// its usual watch.
 	minOutdatedTime = 250 * time.Millisecond
 	// If the active configuration has not been confirmed for minRereadAge, it is read outside the usual watch, at most
-	// once in a rereadInterval. Each gateway adds a random time of up to rereadAgeJitter: the gateways that read first
-	// confirm the configuration to the others, which then need not read it.
-	minRereadAge    = 1200 * time.Millisecond
-	rereadAgeJitter = 1500 * time.Millisecond
-	rereadInterval  = time.Second
+	// once in a rereadPerGateway for each active gateway, and at most once in a minRereadInterval. Each gateway adds a
+	// random time of up to rereadAgeJitter: the gateways that read first confirm the configuration to the others, which
+	// then need not read it.
+	minRereadAge      = 1200 * time.Millisecond
+	rereadAgeJitter   = 1500 * time.Millisecond
+	minRereadInterval = time.Second
+	rereadPerGateway  = 30 * time.Millisecond
 	// lapsedEntryGrace is how long entries that expired during an outage of the store are kept after it.
 	lapsedEntryGrace = 2 * time.Second
 	// minOutageForGrace is the shortest outage to which lapsedEntryGrace applies.
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -76,7 +76,11 @@
 // rereadUnconfirmedConfig starts a new read of the configuration if neither the watch nor a peer has confirmed for a
 // while that it is the newest. The caller must hold mu.
 func (d *Daemon) rereadUnconfirmedConfig(now time.Duration) {
-	if _, age := d.tracker.Active(); age < minRereadAge+rand.N(rereadAgeJitter) || now-d.lastRereadAt < rereadInterval {
+	if _, age := d.tracker.Active(); age < minRereadAge+rand.N(rereadAgeJitter) {
+		return
+	}
+	_, recentGateways := d.broadcaster.Rank(peerTimeout)
+	if now-d.lastRereadAt < max(minRereadInterval, time.Duration(recentGateways)*rereadPerGateway) {
 		return
 	}
 	d.lastRereadAt = now
