--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -19,13 +19,14 @@
 	return maxWait/3 + rand.N(maxWait*2/3), 0
 }
 
-// endpointPace returns the longest wait of a watch of the endpoint list, and the pause between two reads. The pause is
-// short only for the active gateways of the lowest ranks.
+// endpointPace returns the longest wait of a watch of the endpoint list, and the pause between two reads. Both are short
+// only for the active gateways of the lowest ranks. The others wait a random time, so that their calls to the store are
+// spread.
 func (d *Daemon) endpointPace() (wait, pause time.Duration) {
 	if rank, _ := d.broadcaster.Rank(peerTimeout); rank >= listReaders {
-		return listWatchTimeout, listNonReaderPause
+		return listNonReaderWait/2 + rand.N(listNonReaderWait/2), listNonReaderPause
 	}
-	return listWatchTimeout, listReaderPause
+	return listReaderWait, listReaderPause
 }
 
 // Compose returns the state to send to a peer: that of the controller and the latest changes of the endpoint list. The
@@ -75,7 +76,11 @@
 // rereadUnconfirmedConfig starts a new read of the configuration if neither the watch nor a peer has confirmed for a
 // while that it is the newest. The caller must hold mu.
 func (d *Daemon) rereadUnconfirmedConfig(now time.Duration) {
-	if _, age := d.tracker.Active(); age < minRereadAge+rand.N(rereadAgeJitter) || now-d.lastRereadAt < rereadInterval {
+	if _, age := d.tracker.Active(); age < minRereadAge+rand.N(rereadAgeJitter) {
+		return
+	}
+	_, recentGateways := d.broadcaster.Rank(peerTimeout)
+	if now-d.lastRereadAt < max(minRereadInterval, time.Duration(recentGateways)*rereadPerGateway) {
 		return
 	}
 	d.lastRereadAt = now
