--- a/internal/routing/planner/latency.go
+++ b/internal/routing/planner/latency.go
@@ -4,7 +4,7 @@
 
 const (
 	// latencyDecay is the factor by which the weight of each measurement shrinks with every later one.
-	latencyDecay = 0.98
+	latencyDecay = 0.995
 	// minLatencySamples is the decayed number of measurements below which nothing is derived from them.
 	minLatencySamples = 8
 	// minLengthVariation is the standard deviation of the prompt lengths, as a fraction of their mean, below which the
--- a/internal/routing/planner/rates.go
+++ b/internal/routing/planner/rates.go
@@ -99,7 +99,7 @@
 	}
 	_, rate := p.typicalPrefill(j.Service)
 	c = DecodeCost{Service: j.Service, PrefillTime: prefillTime(j.PromptTokens, rate)}
-	c.DecodeSeconds = p.occupiedFraction(n, j.PromptTokens+tokens) * (duration + c.PrefillTime).Seconds()
+	c.DecodeSeconds = p.occupiedFraction(n, j.PromptTokens+tokens/2) * (duration + c.PrefillTime).Seconds()
 	return c, true
 }
 
@@ -114,7 +114,9 @@
 	p.decodeRate = 1 / ((1-decodeSampleWeight)/p.decodeRate + decodeSampleWeight/sample)
 }
 
-// occupiedFraction returns the fraction of a decode endpoint that a generation of the given length occupies.
+// occupiedFraction returns the fraction of a decode endpoint that a generation occupies whose KV cache holds the given
+// number of tokens. The generations on an endpoint have started at different times, so that on average half of the
+// response of each is in memory.
 func (p *Planner) occupiedFraction(n *node, tokens int) float64 {
 	fraction := 1 / float64(max(1, n.Slots))
 	if n.MemoryTokens > 0 {
