Stalled streams that may be resumed continue at another endpoint

Cause: nothing watched the progress of a stream; an endpoint that fell silent, or sent single bytes of an event now and then, held it until its caller left. Streams that may not be resumed are not cut.

--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -147,11 +147,10 @@
 	if j.ExpectedOutputTokens > 0 {
 		outputTokens = min(outputTokens, j.ExpectedOutputTokens)
 	}
-	firstEventTimeout := max(f.options.MinFirstEventTimeout, firstEventTimeoutFactor*j.route.TargetLatency)
 	return planner.Request{
 		Account: j.accountName(), Service: j.service, PromptTokens: j.PromptTokens, ExpectedOutputTokens: outputTokens,
 		FirstEventDeadline: j.receivedAt + j.route.TargetLatency,
-		CallerDeadline:     min(j.deadline, j.receivedAt+firstEventTimeout),
+		CallerDeadline:     min(j.deadline, j.receivedAt+f.callerPatience(j)),
 	}
 }
 
@@ -306,7 +305,11 @@
 		f.releaseReservation(g)
 	}
 	kvSource, reservationID := g.kvSource, g.reservationID
-	r, err := f.endpointClient.Run(ctx, e.Address, Attempt{
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := f.newStallWatch(g, cancel)
+	defer watch.stop()
+	r, err := f.endpointClient.Run(attemptCtx, e.Address, Attempt{
 		Request: g.Request, EndpointID: e.ID, Account: g.accountName(), TimeBudget: f.timeLeft(g.job),
 		KVSource: kvSource, ReservationID: reservationID, ResumeAfterEventID: g.relay.lastEventID,
 		NewConnection: g.route.Kind != matcher.Idempotent,
@@ -339,7 +342,7 @@
 	if r.Status != http.StatusOK {
 		return f.relayFailure(g, r)
 	}
-	return f.relayStream(ctx, g, r)
+	return f.relayStream(ctx, g, r, watch)
 }
 
 // handleDecodeFailure reports the endpoint of an attempt without a response as failed, unless the caller's context has
--- a/internal/proxy/forwarder/relay.go
+++ b/internal/proxy/forwarder/relay.go
@@ -59,15 +59,18 @@
 }
 
 // copyEvents sends the events of a body to the caller, until the body ends or fails or a write to the caller fails.
-// Both errors are nil after a complete stream. An incomplete event at a read error is dropped.
-func (r *relay) copyEvents(w http.ResponseWriter, body io.Reader) (readErr, writeErr error) {
+// Both errors are nil after a complete stream. An incomplete event at a read error is dropped. Each read that completes
+// an event is progress for the watch.
+func (r *relay) copyEvents(w http.ResponseWriter, body io.Reader, watch *stallWatch) (readErr, writeErr error) {
 	flusher := http.NewResponseController(w)
 	for {
 		n, err := body.Read(r.buffer[r.buffered:])
 		r.buffered += n
 		sendable := r.sendableBytes(err)
 		if sendable > 0 {
-			r.recordEvents(r.buffer[:sendable])
+			if r.recordEvents(r.buffer[:sendable]) > 0 {
+				watch.progress()
+			}
 			if _, werr := w.Write(r.buffer[:sendable]); werr != nil {
 				return nil, werr
 			}
@@ -99,23 +102,26 @@
 	return end + len(eventTerminator)
 }
 
-// recordEvents counts events and, in a resumable stream, stores the ID of the last one.
-func (r *relay) recordEvents(events []byte) {
-	r.events += bytes.Count(events, eventTerminator)
+// recordEvents counts the complete events and, in a resumable stream, stores the ID of the last one. It returns their
+// number.
+func (r *relay) recordEvents(events []byte) int {
+	complete := bytes.Count(events, eventTerminator)
+	r.events += complete
 	if !r.resumable {
-		return
+		return complete
 	}
 	at := bytes.LastIndex(events, idField)
 	if at < 0 || (at > 0 && events[at-1] != '\n') {
-		return
+		return complete
 	}
 	line, _, _ := bytes.Cut(events[at+len(idField):], []byte("\n"))
 	r.lastEventID = string(bytes.TrimSpace(line))
+	return complete
 }
 
 // relayStream sends the events of a response to the caller. It sends the head of the response only if no earlier
 // attempt has done so.
-func (f *Forwarder) relayStream(ctx context.Context, g *generation, r *Response) outcome {
+func (f *Forwarder) relayStream(ctx context.Context, g *generation, r *Response, watch *stallWatch) outcome {
 	if !g.relay.headSent {
 		copyHeader(g.w.Header(), r.Header)
 		g.w.WriteHeader(r.Status)
@@ -124,7 +130,7 @@
 		g.record.timeToHead = f.clock() - g.receivedAt
 	}
 	startedAt, eventsBefore := f.clock(), g.relay.events
-	readErr, writeErr := g.relay.copyEvents(g.w, r.Body)
+	readErr, writeErr := g.relay.copyEvents(g.w, r.Body, watch)
 	g.record.events = g.relay.events
 	if readErr == nil && writeErr == nil {
 		f.reportDecodeSpeed(g, g.relay.events-eventsBefore-1, f.clock()-startedAt)
