Limits: gateways that serve an account share the tolerance between reports; split waits for representative measurements

Cause: between two reports of its peers a gateway admitted at most an equal share of the bucket, or three requests. At 103 gateways, which report every 0.4 s, an account at 0.6 of its rate through five gateways had 92 of 629 requests refused although it had tokens (virtual time). The split followed the generations that ended first, the short ones. Change: the gateways that recently admitted requests of the account divide a quarter of the tolerance by their traffic, in fleets of ten gateways and more; the split waits 8 s after the first generation. Not covered, with the code before as well: a restart of all in a large fleet during a partition.

--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -6,7 +6,8 @@
 // of a network partition together stay within the limit. Until a peer has timed out, a gateway admits at most its equal
 // share of the bucket between two reports of that peer, because the peer may use its own share in the meantime. The
 // bucket is larger than the account's burst by a part of the permitted overage. The rest of the overage covers
-// admissions at other gateways that are not yet reported.
+// admissions at other gateways that are not yet reported: the gateways that recently admitted requests of the account
+// divide a part of it.
 package capper
 
 import (
@@ -53,6 +54,14 @@
 	// minUnreportedRequests is the number of equally large requests that may be admitted between two reports of the
 	// peers even if they exceed the gateway's share of the bucket.
 	minUnreportedRequests = 3
+	// minLargeFleet is the number of gateways from which unreportedToleranceRatio applies.
+	minLargeFleet = 10
+	// unreportedToleranceRatio is the part of the overage and slack that the gateways which recently admitted requests of
+	// an account may admit between two reports. It is divided among them: in a large fleet an account uses few of the
+	// gateways, and an equal share of the bucket for all would refuse it although it has tokens left.
+	unreportedToleranceRatio = 0.25
+	// equalShareMargin is how much more than an equal part each of these gateways may admit.
+	equalShareMargin = 1.3
 	// peerReportWait is the wait returned for a request that may be admitted after the next reports of the peers.
 	peerReportWait = 100 * time.Millisecond
 )
@@ -74,6 +83,8 @@
 	totalChangedAt time.Duration
 	// recentAdmissions holds this gateway's admissions of the latest peer timeout, oldest first.
 	recentAdmissions []admission
+	// recentTokens holds the recent admissions of this gateway.
+	recentTokens recentTokens
 }
 
 // peer is another gateway that has reported at least once.
@@ -82,6 +93,8 @@
 	lastReportAt time.Duration
 	// reportedTotals holds the latest reported total of each account.
 	reportedTotals map[string]float64
+	// recentTokens holds the recently reported admissions of each account.
+	recentTokens map[string]recentTokens
 	// timedOut is set while the peer is assumed to use its share. assumedTokens holds, by account, the tokens charged
 	// under that assumption.
 	timedOut      bool
@@ -167,19 +180,40 @@
 		return startupWait + time.Duration(missingTokens/a.limit.TokensPerSecond*float64(time.Second)), false
 	}
 	unreportedTokens := c.unreportedTokens(a, now)
-	maxUnreportedTokens := max(
-		(a.availableTokens+unreportedTokens)/float64(c.gatewayCount()), minUnreportedRequests*tokens,
-	)
-	if unreportedTokens+tokens > maxUnreportedTokens {
+	if unreportedTokens+tokens > c.maxUnreportedTokens(a, tokens, unreportedTokens, now) {
 		return peerReportWait, false
 	}
 	a.availableTokens -= tokens
 	a.admittedTotal += tokens
 	a.totalChangedAt = now
 	a.recentAdmissions = append(a.recentAdmissions, admission{admittedAt: now, tokens: tokens})
+	a.recentTokens = a.recentTokens.plus(tokens, now)
 	return 0, true
 }
 
+// maxUnreportedTokens returns how many tokens of an account this gateway may admit between two reports of its peers.
+// tokens is the size of the present request and unreportedTokens what was admitted since the last report.
+func (c *Capper) maxUnreportedTokens(a *account, tokens, unreportedTokens float64, now time.Duration) float64 {
+	limit := max((a.availableTokens+unreportedTokens)/float64(c.gatewayCount()), minUnreportedRequests*tokens)
+	if c.gatewayCount() < minLargeFleet {
+		return limit
+	}
+	return max(limit, unreportedToleranceRatio*c.toleranceTokens(a.limit)*c.trafficShare(a.limit.Account, a, now))
+}
+
+// trafficShare returns the part of the recent admissions of an account that this gateway has made, or somewhat more than
+// an equal part among the gateways that made some, if that is more.
+func (c *Capper) trafficShare(name string, a *account, now time.Duration) float64 {
+	own, total, active := a.recentTokens.value(now), a.recentTokens.value(now), 1
+	for _, p := range c.peers {
+		if tokens := p.recentTokens[name].value(now); tokens > 0 {
+			total += tokens
+			active++
+		}
+	}
+	return max(equalShareMargin/float64(active), own/max(1, total))
+}
+
 // unreportedTokens returns the tokens that this gateway has admitted since the oldest of the latest reports of its
 // peers; peers that have timed out do not count. It also drops admissions older than the peer timeout.
 func (c *Capper) unreportedTokens(a *account, now time.Duration) float64 {
@@ -272,7 +306,8 @@
 		// The first report is only a baseline: the peer's earlier admissions are not charged to the buckets here.
 		c.peers[gateway] = &peer{
 			incarnation: incarnation, lastReportAt: now,
-			reportedTotals: map[string]float64{}, assumedTokens: map[string]float64{},
+			reportedTotals: map[string]float64{}, recentTokens: map[string]recentTokens{},
+			assumedTokens: map[string]float64{},
 		}
 		maps.Copy(c.peers[gateway].reportedTotals, totals)
 		return
@@ -287,6 +322,9 @@
 			delta = total - p.reportedTotals[name]
 			p.reportedTotals[name] = total
 		}
+		if delta > 0 {
+			p.recentTokens[name] = p.recentTokens[name].plus(delta, now)
+		}
 		a.availableTokens -= delta
 	}
 	p.lastReportAt, p.timedOut = now, false
--- a/internal/limits/capper/capper_test.go
+++ b/internal/limits/capper/capper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -126,21 +127,25 @@
 // account requests up to four times (large) or seven times (small) its rate, on average and over all gateways, while
 // gateways are partitioned, killed and restarted at random.
 func TestAccountExceedsLimitDuringPartitionsAndRestarts(t *testing.T) {
-	t.Run("large", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6) })
-	t.Run("small", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3) })
+	t.Run("large", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6, 2, seedGateways, "3000") })
+	t.Run("small", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3, 2, seedGateways, "3000") })
+	t.Run("large, many gateways", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6, 10, 25, "100") })
+	t.Run("small, many gateways", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3, 10, 25, "100") })
 }
 
-// checkWindowBound runs random sequences of faults and requests, with at most maxRequestsPerStep requests in each step
-// of 100 ms, and checks the worst window.
-func checkWindowBound(t *testing.T, tokensPerSecond float64, maxRequestsPerStep int) {
+// checkWindowBound runs the given number of random sequences of faults and requests on fleets of minGateways to
+// maxGateways gateways, with at most maxRequestsPerStep requests in each step of 100 ms, and checks the worst window.
+func checkWindowBound(
+	t *testing.T, tokensPerSecond float64, maxRequestsPerStep, minGateways, maxGateways int, checks string,
+) {
 	t.Helper()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(2, seedGateways).Draw(t, "gateways")
+		n := rapid.IntRange(minGateways, maxGateways).Draw(t, "gateways")
 		f := newFleet(n, tokensPerSecond)
 		f.now = 20 * time.Second
 		for range rapid.IntRange(100, 250).Draw(t, "steps") {
@@ -151,6 +156,11 @@
 			case 1:
 				f.start(rapid.IntRange(0, n-1).Draw(t, "killed"))
 			case 2:
+				// A process knows only of seedGateways others before it has heard of them: a restart of a larger fleet during
+				// a partition is not covered (docs/design/platform.md).
+				if n > seedGateways {
+					break
+				}
 				for i := range n {
 					f.start(i)
 				}
@@ -261,3 +271,47 @@
 		t.Errorf("got %d requests refused at a fifth of the account's rate, want none", refused)
 	}
 }
+
+// The load is an account that uses 0.6 of its rate through few of many gateways, one of which gets most of its requests.
+// Gateways of a large fleet report only every 0.4 s and longer. An equal share of the bucket between two reports, or
+// three requests, refused requests although the account as a whole had room (benchmark: large deployment, quiet-1 and
+// scale-1). At most 0.1% may be refused.
+func TestUnevenArrivalAtManyGatewaysIsNotRefused(t *testing.T) {
+	for _, gateways := range []int{5, 25, 103} {
+		t.Run(strconv.Itoa(gateways), func(t *testing.T) {
+			o := options
+			o.PeerTimeoutPerGateway = 12 * time.Millisecond
+			interval := max(100*time.Millisecond, time.Duration(gateways)*4*time.Millisecond)
+			f := &fleet{tokensPerSecond: largeTokensPerSecond, partitions: make([]int, gateways)}
+			for i := range gateways {
+				f.cappers, f.incarnations = append(f.cappers, nil), append(f.incarnations, 0)
+				f.names = append(f.names, strconv.Itoa(i))
+				f.start(i)
+			}
+			for f.now < 5*time.Second {
+				f.now += interval
+				f.exchangeTotals()
+			}
+			rng := rand.New(rand.NewPCG(1, uint64(gateways)))
+			refused, sent, nextExchange := 0, 0, f.now+interval
+			for end := f.now + 60*time.Second; f.now < end; {
+				f.now += time.Duration(rng.ExpFloat64() / 11 * float64(time.Second))
+				for f.now >= nextExchange {
+					f.exchangeTotals()
+					nextExchange += interval
+				}
+				gateway := 0
+				if rng.Float64() < 0.4 {
+					gateway = rng.IntN(5)
+				}
+				sent++
+				if !f.admit(gateway, 5500) {
+					refused++
+				}
+			}
+			if refused*1000 > sent {
+				t.Errorf("got %d of %d requests refused at 0.6 of the account's rate, want at most 0.1%%", refused, sent)
+			}
+		})
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -227,7 +227,7 @@
 }
 
 func profilerOptions() profiler.Options {
-	return profiler.Options{DecayTime: 20 * time.Second, MaxPeerAge: 3 * time.Second}
+	return profiler.Options{DecayTime: 20 * time.Second, MaxPeerAge: 3 * time.Second, SettleTime: 8 * time.Second}
 }
 
 // addServices adds all parts of the gateway that run in the background to the supervisor.
--- a/internal/routing/controller/stages.go
+++ b/internal/routing/controller/stages.go
@@ -67,11 +67,14 @@
 }
 
 // usage returns the endpoint time that recent generations of a service used, or the assumed one before the first
-// generation. The lock must be held.
+// generation. It is zero while the measured one is not representative. The lock must be held.
 func (c *Controller) usage(service string, now time.Duration) profiler.Usage {
 	u := c.profiler.Total(service, now)
 	if u.Generations > 0 {
 		c.initialUsage = profiler.Usage{}
+		if !c.profiler.Settled(service, now) {
+			return profiler.Usage{}
+		}
 		return u
 	}
 	return c.initialUsage
--- a/internal/routing/profiler/profiler.go
+++ b/internal/routing/profiler/profiler.go
@@ -47,6 +47,9 @@
 	DecayTime time.Duration
 	// MaxPeerAge is the age from which the report of a peer is ignored.
 	MaxPeerAge time.Duration
+	// SettleTime is the time after the first generation for which the usage is not representative: the generations that
+	// have been completed by then are the short ones.
+	SettleTime time.Duration
 }
 
 // record is a usage as of a time.
@@ -62,16 +65,19 @@
 	// own holds the usage of the generations of this gateway by service, peers that of the others by peer and service.
 	own   map[string]record
 	peers map[string]map[string]record
+	// firstAt holds the time at which the first generation of each service was recorded or reported.
+	firstAt map[string]time.Duration
 }
 
 // New returns a Profiler that knows no generations.
 func New(o Options) *Profiler {
-	return &Profiler{options: o, own: map[string]record{}, peers: map[string]map[string]record{}}
+	return &Profiler{options: o, own: map[string]record{}, peers: map[string]map[string]record{}, firstAt: map[string]time.Duration{}}
 }
 
 // Record adds a completed generation of this gateway to the usage of a service.
 func (p *Profiler) Record(service string, prefill time.Duration, decodeSeconds float64, now time.Duration) {
 	u := p.decayed(p.own[service], now)
+	p.recordFirst(service, now)
 	p.own[service] = record{
 		usage: u.plus(Usage{Generations: 1, PrefillSeconds: prefill.Seconds(), DecodeSeconds: decodeSeconds}), at: now,
 	}
@@ -100,6 +106,7 @@
 	records := make(map[string]record, len(usages))
 	for service, u := range usages {
 		records[service] = record{usage: u, at: now}
+		p.recordFirst(service, now)
 	}
 	p.peers[peer] = records
 }
@@ -109,6 +116,19 @@
 	delete(p.peers, peer)
 }
 
+// recordFirst records the time of the first generation of a service.
+func (p *Profiler) recordFirst(service string, now time.Duration) {
+	if _, known := p.firstAt[service]; !known {
+		p.firstAt[service] = now
+	}
+}
+
+// Settled reports whether the usage of a service is representative: generations have been completed for SettleTime.
+func (p *Profiler) Settled(service string, now time.Duration) bool {
+	at, known := p.firstAt[service]
+	return known && now-at >= p.options.SettleTime
+}
+
 // Total returns the usage of a service over all gateways.
 func (p *Profiler) Total(service string, now time.Duration) Usage {
 	total := p.decayed(p.own[service], now)
--- a/internal/routing/profiler/profiler_test.go
+++ b/internal/routing/profiler/profiler_test.go
@@ -8,7 +8,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 )
 
-var options = profiler.Options{DecayTime: 10 * time.Second, MaxPeerAge: 3 * time.Second}
+var options = profiler.Options{DecayTime: 10 * time.Second, MaxPeerAge: 3 * time.Second, SettleTime: 8 * time.Second}
 
 // The leader sees only a small part of the traffic itself. Without the usages of its peers it would decide on a few
 // generations, and with usages counted twice on wrong ones.
@@ -52,3 +52,20 @@
 		t.Errorf("got %.1f generations of a removed peer, want 0", got)
 	}
 }
+
+// The generations that are completed first are the short ones. The split followed them five seconds after the start of
+// the traffic, and was changed back later (benchmark: large deployment, scale-1).
+func TestFirstGenerationsAreNotRepresentative(t *testing.T) {
+	p := profiler.New(options)
+	p.MergePeer("b", map[string]profiler.Usage{"m": {Generations: 50}}, time.Second)
+	p.Record("m", time.Second, 1, 5*time.Second)
+	if p.Settled("m", 8*time.Second) {
+		t.Error("got a settled usage 7 s after the first generation, want one after 8 s")
+	}
+	if !p.Settled("m", 9*time.Second) {
+		t.Error("got an unsettled usage 8 s after the first generation, want a settled one")
+	}
+	if p.Settled("other", time.Minute) {
+		t.Error("got a settled usage without generations")
+	}
+}
