--- /dev/null
+++ b/cmd/soak/endpoints.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/soak/proxier"
+	"github.com/pistachiovane/pistachiovane/platform/standin"
+)
+
+// endpoint is a stand-in endpoint and the proxy in front of it.
+type endpoint struct {
+	*standin.Endpoint
+	proxy *proxier.Proxier
+	// leaving is set before the endpoint is announced to leave.
+	leaving bool
+}
+
+// state returns the state that the endpoint announces in the store. The caller must hold the lock of the testbed.
+func (e *endpoint) state() string {
+	if e.leaving {
+		return "draining"
+	}
+	return "ready"
+}
+
+// addEndpoint starts an endpoint with a proxy in front of it and writes its entry to the store. An empty stage
+// makes it an endpoint of the plain service.
+func (b *testbed) addEndpoint(id, stage string) error {
+	service := modelService
+	if stage == "" {
+		service = plainService
+	}
+	e, err := standin.NewEndpoint(id, service, string(rune('a'+b.rng.IntN(3))), stage)
+	if err != nil {
+		return errors.Wrap(err, "start endpoint")
+	}
+	proxy, err := proxier.New(e.Address())
+	if err != nil {
+		return err
+	}
+	e.EchoRequestID, e.AdvertisedAddress, e.EventsPerStream, e.EventInterval, e.ServiceTime = true, proxy.Address(),
+		eventsPerStream, 20*time.Millisecond, 20*time.Millisecond
+	b.mu.Lock()
+	b.endpoints = append(b.endpoints, &endpoint{Endpoint: e, proxy: proxy})
+	b.mu.Unlock()
+	b.store.Put(e.StoreEntry("ready"))
+	return nil
+}
+
+// replaceEndpoint starts an endpoint of the same stage as endpoint i (modulo their number), and announces that endpoint
+// i leaves. It does nothing when endpoint i is leaving already.
+func (b *testbed) replaceEndpoint(i int) error {
+	b.mu.Lock()
+	replaced := b.endpoints[i%len(b.endpoints)]
+	id := fmt.Sprintf("e%d", len(b.endpoints))
+	alreadyLeaving := replaced.leaving
+	replaced.leaving = true
+	b.mu.Unlock()
+	if alreadyLeaving {
+		return nil
+	}
+	if err := b.addEndpoint(id, replaced.Stage); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.store.Put(replaced.StoreEntry(replaced.state()))
+	b.leavingSince[replaced.ID] = time.Now()
+	return nil
+}
+
+// runHeartbeat writes the entries of all endpoints to the store, with pauses of heartbeatInterval, until stop is
+// closed.
+func (b *testbed) runHeartbeat(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+		b.writeHeartbeats()
+	}
+}
+
+// writeHeartbeats writes the entries of all endpoints to the store. It holds the lock meanwhile, so that no entry of a
+// leaving endpoint is overwritten by an older state.
+func (b *testbed) writeHeartbeats() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.endpoints {
+		b.store.Put(e.StoreEntry(e.state()))
+	}
+}
+
+// pickEndpoint returns a random endpoint, which may be leaving.
+func (b *testbed) pickEndpoint(rng *rand.Rand) *endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.endpoints[rng.IntN(len(b.endpoints))]
+}
--- /dev/null
+++ b/internal/limits/capper/peer.go
@@ -0,0 +1,95 @@
+package capper
+
+import (
+	"maps"
+	"time"
+)
+
+// peer is another gateway that has reported at least once.
+type peer struct {
+	incarnation  uint64
+	lastReportAt time.Duration
+	// reportedTotals holds the latest reported total of each account.
+	reportedTotals map[string]float64
+	// recentTokens holds the recently reported admissions of each account.
+	recentTokens map[string]recentTokens
+	// timedOut is set while the peer is assumed to use its share. assumedTokens holds, by account, the tokens charged
+	// under that assumption.
+	timedOut      bool
+	assumedTokens map[string]float64
+}
+
+// ReceiveTotals charges the difference between a peer's reported totals and its previous ones. The totals must include
+// at least each account for which the peer admitted something since its previous report; allAccounts means that they
+// include all accounts. The tokens that were assumed for the peer after a timeout are given back once it has reported
+// all accounts.
+func (c *Capper) ReceiveTotals(
+	gateway string, incarnation uint64, totals map[string]float64, allAccounts bool, now time.Duration,
+) {
+	c.advance(now)
+	p, ok := c.peers[gateway]
+	if !ok {
+		// The first report is only a baseline: the peer's earlier admissions are not charged to the buckets here.
+		c.peers[gateway] = &peer{
+			incarnation: incarnation, lastReportAt: now,
+			reportedTotals: map[string]float64{}, recentTokens: map[string]recentTokens{},
+			assumedTokens: map[string]float64{},
+		}
+		maps.Copy(c.peers[gateway].reportedTotals, totals)
+		return
+	}
+	if p.incarnation != incarnation {
+		p.incarnation, p.reportedTotals = incarnation, map[string]float64{}
+		c.chargeRestartedPeer(p)
+	}
+	for name, a := range c.accounts {
+		delta := 0.0
+		if total, reported := totals[name]; reported {
+			delta = total - p.reportedTotals[name]
+			p.reportedTotals[name] = total
+		}
+		if delta > 0 {
+			p.recentTokens[name] = p.recentTokens[name].plus(delta, now)
+		}
+		a.availableTokens -= delta
+	}
+	p.lastReportAt, p.timedOut = now, false
+	if allAccounts {
+		c.releaseAssumedTokens(p)
+	}
+}
+
+// releaseAssumedTokens gives back the tokens that were charged for a peer while it had timed out, because its real
+// admissions are now known from its report and have been charged.
+func (c *Capper) releaseAssumedTokens(p *peer) {
+	for name, a := range c.accounts {
+		a.availableTokens = min(c.bucketTokens(a.limit), a.availableTokens+p.assumedTokens[name])
+	}
+	clear(p.assumedTokens)
+}
+
+// chargeRestartedPeer charges the equal share of the available tokens for a peer whose previous process has ended: what
+// that process admitted after its last report will never be reported. A peer that had timed out was charged already,
+// and that charge becomes final.
+func (c *Capper) chargeRestartedPeer(p *peer) {
+	if !p.timedOut {
+		for _, a := range c.accounts {
+			a.availableTokens -= max(0, a.availableTokens) / float64(c.gatewayCount())
+		}
+	}
+	clear(p.assumedTokens)
+}
+
+// chargeTimedOutPeer charges the equal share of each bucket, and of the refill during the peer timeout, for a peer that
+// has just timed out.
+func (c *Capper) chargeTimedOutPeer(p *peer) {
+	if p.timedOut {
+		return
+	}
+	p.timedOut = true
+	for name, a := range c.accounts {
+		share := (c.bucketTokens(a.limit) + a.limit.TokensPerSecond*c.peerTimeout().Seconds()) / float64(c.gatewayCount())
+		a.availableTokens -= share
+		p.assumedTokens[name] += share
+	}
+}
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -88,58 +88,6 @@
 	return true
 }
 
-// reserve reserves capacity at the decode endpoint before the prefill, because other gateways may have filled the
-// endpoint since their last message. If the reservation fails, the request is queued for another plan. reserve returns
-// false if it has answered the request.
-func (f *Forwarder) reserve(ctx context.Context, g *generation) bool {
-	for {
-		e := g.plan.Decode
-		reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
-		reservationID, err := f.endpointClient.Reserve(reserveCtx, e.Address, e.ID, g.PromptTokens, reservationTTL)
-		cancel()
-		if reservationID != "" {
-			g.reservationID, g.reservedOn = reservationID, e
-			g.record.queueTime = f.clock() - g.receivedAt
-			return true
-		}
-		if ctx.Err() != nil {
-			// The caller's context has ended. This is not a failure of the endpoint.
-			f.refuseAbandoned(g.job, reasonAbandoned)
-			return false
-		}
-		f.handleReserveFailure(g, e, err)
-		decision := f.controller.RescheduleGeneration(ctx, g.plannerID)
-		if !f.handleDecision(g.job, decision) {
-			return false
-		}
-		g.plan = decision.Plan
-	}
-}
-
-// handleReserveFailure reports the endpoint of a failed reservation to the planner: as failed after an error, else as
-// full.
-func (f *Forwarder) handleReserveFailure(g *generation, e *planner.Endpoint, err error) {
-	f.Stats.RefusedReservations.Add(1)
-	if err != nil {
-		f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Err(err).Msg("forward: room not reserved")
-	}
-	if err != nil {
-		f.controller.ReportFailure(e.ID)
-		return
-	}
-	f.reportFull(e.ID)
-}
-
-// releaseReservation cancels the reservation, if there is one, without waiting for the endpoint.
-func (f *Forwarder) releaseReservation(g *generation) {
-	if g.reservationID == "" {
-		return
-	}
-	address, reservationID := g.reservedOn.Address, g.reservationID
-	g.reservationID = ""
-	go releaseInBackground(f.endpointClient.Release, address, reservationID)
-}
-
 // plannerRequest returns the request for the planner. It uses the caller's estimate of the output tokens, if there is
 // one.
 func (f *Forwarder) plannerRequest(j *job) planner.Request {
@@ -214,72 +162,6 @@
 	}
 }
 
-// mayPrefill reports whether a prefill call may be made. The first call of a generation is free; each further one is
-// taken from the retry budget.
-func (f *Forwarder) mayPrefill(g *generation) bool {
-	if g.lostKVCaches >= maxLostKVCaches || g.prefillAttempts >= maxPrefillAttempts {
-		return false
-	}
-	return g.prefillAttempts == 0 || f.controller.SpendRetryBudget(g.service)
-}
-
-// prefill runs the prompt at a prefill endpoint, unless there is a KV cache already or the plan has no prefill
-// endpoint. If no further prefill call may be made, it leaves the prefill to the decode endpoint. It returns
-// outcomeAnswered if the decode can start, and outcomeAbandoned if the caller's context has ended.
-func (f *Forwarder) prefill(ctx context.Context, g *generation) outcome {
-	for g.kvSource == "" && g.plan.Prefill != nil {
-		if !f.mayPrefill(g) {
-			g.plan.Prefill = nil
-			return outcomeAnswered
-		}
-		g.prefillAttempts++
-		e := g.plan.Prefill
-		g.record.prefillEndpoint = e.ID
-		prefillCtx, cancel := context.WithTimeout(ctx, minPrefillTimeout+prefillTimeoutFactor*g.plan.PrefillTime)
-		startedAt := f.clock()
-		kvSource, response, err := f.endpointClient.Prefill(prefillCtx, e.Address, Attempt{
-			Request: g.Request, EndpointID: e.ID, Account: g.accountName(), TimeBudget: f.timeLeft(g.job),
-			ResumeAfterEventID: g.relay.lastEventID,
-		})
-		cancel()
-		duration := f.clock() - startedAt
-		f.controller.UpdatePlanner(func(p *planner.Planner, now time.Duration) []planner.Decision {
-			if kvSource == "" {
-				p.CancelPrefill(g.plannerID)
-			} else {
-				p.RecordPrefill(g.plannerID, duration, now)
-			}
-			return nil
-		})
-		if kvSource != "" {
-			g.kvSource, g.kvHolder, g.kvExpiresAt = kvSource, e, f.clock()+g.engine.HandleTTL-kvTransferMargin
-			g.record.prefillTime = f.clock() - g.receivedAt
-			f.Stats.Prefills.Add(1)
-			return outcomeAnswered
-		}
-		if ctx.Err() != nil {
-			return outcomeAbandoned
-		}
-		f.handlePrefillFailure(g, e, response, err)
-		f.findPlan(g, true, e.ID)
-	}
-	return outcomeAnswered
-}
-
-// handlePrefillFailure reports the endpoint of a failed prefill to the planner: as full if it refused, else as failed.
-func (f *Forwarder) handlePrefillFailure(g *generation, e *planner.Endpoint, r *Response, err error) {
-	status := 0
-	if r != nil {
-		status = r.Status
-	}
-	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Int("status", status).Err(err).Msg("forward: prompt not read")
-	if r != nil && r.NotExecuted && !r.Misdirected {
-		f.reportFull(e.ID)
-		return
-	}
-	f.controller.ReportFailure(e.ID)
-}
-
 // reportFull reports to the planner that an endpoint had no free capacity.
 func (f *Forwarder) reportFull(id string) {
 	f.controller.UpdatePlanner(func(p *planner.Planner, now time.Duration) []planner.Decision {
@@ -415,21 +297,3 @@
 	})
 	return found
 }
-
-// freeKVCache frees the KV cache that no decode endpoint has taken, if there is one, without waiting for the endpoint.
-func (f *Forwarder) freeKVCache(g *generation) {
-	if g.kvSource == "" {
-		return
-	}
-	f.Stats.WastedPrefills.Add(1)
-	address, kvSource := g.kvHolder.Address, g.kvSource
-	g.kvSource = ""
-	go releaseInBackground(f.endpointClient.FreeKVCache, address, kvSource)
-}
-
-// releaseInBackground calls release with its own context, because that of the request may have ended.
-func releaseInBackground(release func(ctx context.Context, address, id string), address, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	release(ctx, address, id)
-}
--- /dev/null
+++ b/internal/proxy/forwarder/prefill.go
@@ -0,0 +1,85 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+)
+
+// mayPrefill reports whether a prefill call may be made. The first call of a generation is free; each further one is
+// taken from the retry budget.
+func (f *Forwarder) mayPrefill(g *generation) bool {
+	if g.lostKVCaches >= maxLostKVCaches || g.prefillAttempts >= maxPrefillAttempts {
+		return false
+	}
+	return g.prefillAttempts == 0 || f.controller.SpendRetryBudget(g.service)
+}
+
+// prefill runs the prompt at a prefill endpoint, unless there is a KV cache already or the plan has no prefill
+// endpoint. If no further prefill call may be made, it leaves the prefill to the decode endpoint. It returns
+// outcomeAnswered if the decode can start, and outcomeAbandoned if the caller's context has ended.
+func (f *Forwarder) prefill(ctx context.Context, g *generation) outcome {
+	for g.kvSource == "" && g.plan.Prefill != nil {
+		if !f.mayPrefill(g) {
+			g.plan.Prefill = nil
+			return outcomeAnswered
+		}
+		g.prefillAttempts++
+		e := g.plan.Prefill
+		g.record.prefillEndpoint = e.ID
+		prefillCtx, cancel := context.WithTimeout(ctx, minPrefillTimeout+prefillTimeoutFactor*g.plan.PrefillTime)
+		startedAt := f.clock()
+		kvSource, response, err := f.endpointClient.Prefill(prefillCtx, e.Address, Attempt{
+			Request: g.Request, EndpointID: e.ID, Account: g.accountName(), TimeBudget: f.timeLeft(g.job),
+			ResumeAfterEventID: g.relay.lastEventID,
+		})
+		cancel()
+		duration := f.clock() - startedAt
+		f.controller.UpdatePlanner(func(p *planner.Planner, now time.Duration) []planner.Decision {
+			if kvSource == "" {
+				p.CancelPrefill(g.plannerID)
+			} else {
+				p.RecordPrefill(g.plannerID, duration, now)
+			}
+			return nil
+		})
+		if kvSource != "" {
+			g.kvSource, g.kvHolder, g.kvExpiresAt = kvSource, e, f.clock()+g.engine.HandleTTL-kvTransferMargin
+			g.record.prefillTime = f.clock() - g.receivedAt
+			f.Stats.Prefills.Add(1)
+			return outcomeAnswered
+		}
+		if ctx.Err() != nil {
+			return outcomeAbandoned
+		}
+		f.handlePrefillFailure(g, e, response, err)
+		f.findPlan(g, true, e.ID)
+	}
+	return outcomeAnswered
+}
+
+// handlePrefillFailure reports the endpoint of a failed prefill to the planner: as full if it refused, else as failed.
+func (f *Forwarder) handlePrefillFailure(g *generation, e *planner.Endpoint, r *Response, err error) {
+	status := 0
+	if r != nil {
+		status = r.Status
+	}
+	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Int("status", status).Err(err).Msg("forward: prompt not read")
+	if r != nil && r.NotExecuted && !r.Misdirected {
+		f.reportFull(e.ID)
+		return
+	}
+	f.controller.ReportFailure(e.ID)
+}
+
+// freeKVCache frees the KV cache that no decode endpoint has taken, if there is one, without waiting for the endpoint.
+func (f *Forwarder) freeKVCache(g *generation) {
+	if g.kvSource == "" {
+		return
+	}
+	f.Stats.WastedPrefills.Add(1)
+	address, kvSource := g.kvHolder.Address, g.kvSource
+	g.kvSource = ""
+	go releaseInBackground(f.endpointClient.FreeKVCache, address, kvSource)
+}
--- /dev/null
+++ b/internal/proxy/forwarder/reservation.go
@@ -0,0 +1,66 @@
+package forwarder
+
+import (
+	"context"
+
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+)
+
+// reserve reserves capacity at the decode endpoint before the prefill, because other gateways may have filled the
+// endpoint since their last message. If the reservation fails, the request is queued for another plan. reserve returns
+// false if it has answered the request.
+func (f *Forwarder) reserve(ctx context.Context, g *generation) bool {
+	for {
+		e := g.plan.Decode
+		reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
+		reservationID, err := f.endpointClient.Reserve(reserveCtx, e.Address, e.ID, g.PromptTokens, reservationTTL)
+		cancel()
+		if reservationID != "" {
+			g.reservationID, g.reservedOn = reservationID, e
+			g.record.queueTime = f.clock() - g.receivedAt
+			return true
+		}
+		if ctx.Err() != nil {
+			// The caller's context has ended. This is not a failure of the endpoint.
+			f.refuseAbandoned(g.job, reasonAbandoned)
+			return false
+		}
+		f.handleReserveFailure(g, e, err)
+		decision := f.controller.RescheduleGeneration(ctx, g.plannerID)
+		if !f.handleDecision(g.job, decision) {
+			return false
+		}
+		g.plan = decision.Plan
+	}
+}
+
+// handleReserveFailure reports the endpoint of a failed reservation to the planner: as failed after an error, else as
+// full.
+func (f *Forwarder) handleReserveFailure(g *generation, e *planner.Endpoint, err error) {
+	f.Stats.RefusedReservations.Add(1)
+	if err != nil {
+		f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Err(err).Msg("forward: room not reserved")
+	}
+	if err != nil {
+		f.controller.ReportFailure(e.ID)
+		return
+	}
+	f.reportFull(e.ID)
+}
+
+// releaseReservation cancels the reservation, if there is one, without waiting for the endpoint.
+func (f *Forwarder) releaseReservation(g *generation) {
+	if g.reservationID == "" {
+		return
+	}
+	address, reservationID := g.reservedOn.Address, g.reservationID
+	g.reservationID = ""
+	go releaseInBackground(f.endpointClient.Release, address, reservationID)
+}
+
+// releaseInBackground calls release with its own context, because that of the request may have ended.
+func releaseInBackground(release func(ctx context.Context, address, id string), address, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	release(ctx, address, id)
+}
