One decaying sum instead of three; constants of prefills and reservations beside their code

pkg/decayer replaces the sums of balancer, capper and planner; profiler keeps its own, which decays three figures together. No behaviour changes.

--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -12,6 +12,8 @@
 
 import (
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 )
 
 // AccountLimit is the token bucket of one client account. TokensPerSecond is the refill rate and zero means that the
@@ -61,6 +63,10 @@
 	unreportedToleranceRatio = 0.25
 	// equalShareMargin is how much more than an equal part each of these gateways may admit.
 	equalShareMargin = 1.3
+	// recentDecayTime is the time constant with which recent admissions decay, recentMaxAge the time without admissions
+	// after which a peer no longer counts as one that admits requests of the account.
+	recentDecayTime = 3 * time.Second
+	recentMaxAge    = 6 * time.Second
 	// peerReportWait is the wait returned for a request that may be admitted after the next reports of the peers.
 	peerReportWait = 100 * time.Millisecond
 )
@@ -83,7 +89,7 @@
 	// recentAdmissions holds this gateway's admissions of the latest peer timeout, oldest first.
 	recentAdmissions []admission
 	// recentTokens holds the recent admissions of this gateway.
-	recentTokens recentTokens
+	recentTokens decayer.Sum
 }
 
 // Capper holds the token buckets of all accounts. It is not safe for concurrent use. All its times are readings of one
@@ -172,7 +178,7 @@
 	a.admittedTotal += tokens
 	a.totalChangedAt = now
 	a.recentAdmissions = append(a.recentAdmissions, admission{admittedAt: now, tokens: tokens})
-	a.recentTokens = a.recentTokens.plus(tokens, now)
+	a.recentTokens = a.recentTokens.With(tokens, recentDecayTime, now)
 	return 0, true
 }
 
@@ -189,10 +195,11 @@
 // trafficShare returns the part of the recent admissions of an account that this gateway has made, or somewhat more than
 // an equal part among the gateways that made some, if that is more.
 func (c *Capper) trafficShare(name string, a *account, now time.Duration) float64 {
-	own, total, active := a.recentTokens.value(now), a.recentTokens.value(now), 1
+	own := a.recentTokens.Value(recentDecayTime, now)
+	total, active := own, 1
 	for _, p := range c.peers {
-		if tokens := p.recentTokens[name].value(now); tokens > 0 {
-			total += tokens
+		if recent := p.recentTokens[name]; recent.Value(recentDecayTime, now) > 0 && recent.Age(now) <= recentMaxAge {
+			total += recent.Value(recentDecayTime, now)
 			active++
 		}
 	}
--- a/internal/limits/capper/peer.go
+++ b/internal/limits/capper/peer.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 )
 
 // peer is another gateway that has reported at least once.
@@ -12,7 +14,7 @@
 	// reportedTotals holds the latest reported total of each account.
 	reportedTotals map[string]float64
 	// recentTokens holds the recently reported admissions of each account.
-	recentTokens map[string]recentTokens
+	recentTokens map[string]decayer.Sum
 	// timedOut is set while the peer is assumed to use its share. assumedTokens holds, by account, the tokens charged
 	// under that assumption.
 	timedOut      bool
@@ -32,7 +34,7 @@
 		// The first report is only a baseline: the peer's earlier admissions are not charged to the buckets here.
 		c.peers[gateway] = &peer{
 			incarnation: incarnation, lastReportAt: now,
-			reportedTotals: map[string]float64{}, recentTokens: map[string]recentTokens{},
+			reportedTotals: map[string]float64{}, recentTokens: map[string]decayer.Sum{},
 			assumedTokens: map[string]float64{},
 		}
 		maps.Copy(c.peers[gateway].reportedTotals, totals)
@@ -49,7 +51,7 @@
 			p.reportedTotals[name] = total
 		}
 		if delta > 0 {
-			p.recentTokens[name] = p.recentTokens[name].plus(delta, now)
+			p.recentTokens[name] = p.recentTokens[name].With(delta, recentDecayTime, now)
 		}
 		a.availableTokens -= delta
 	}
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -10,27 +10,10 @@
 )
 
 const (
-	// maxPrefillAttempts limits the prefill attempts of a generation.
-	maxPrefillAttempts = 3
 	// maxDecodeAttempts limits the decode attempts of a generation.
 	maxDecodeAttempts = 4
-	// maxLostKVCaches is the number of lost KV caches after which the decode endpoint prefills the prompt itself.
-	maxLostKVCaches = 2
-	// A prefill attempt, including the time queued at the endpoint, is limited to minPrefillTimeout plus
-	// prefillTimeoutFactor times its expected duration. A prompt that is sent elsewhere because its endpoint is busy is
-	// processed twice, which makes all endpoints busier.
-	minPrefillTimeout    = 800 * time.Millisecond
-	prefillTimeoutFactor = 2
-	// kvTransferMargin is subtracted from the lifetime of a KV cache, for its transfer to the decode endpoint.
-	kvTransferMargin = 60 * time.Millisecond
 	// firstEventTimeoutFactor times the latency target is how long a caller is assumed to wait for the first event.
 	firstEventTimeoutFactor = 4
-	// reservationTTL is how long a decode endpoint keeps a reservation. It covers the prefill of the prompt.
-	reservationTTL = 1500 * time.Millisecond
-	// reserveTimeout limits the call that makes a reservation.
-	reserveTimeout = 400 * time.Millisecond
-	// releaseTimeout limits the call that frees a KV cache or releases a reservation.
-	releaseTimeout = time.Second
 )
 
 // generation is a request for a model service in progress.
--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -7,6 +7,20 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
+const (
+	// maxPrefillAttempts limits the prefill attempts of a generation.
+	maxPrefillAttempts = 3
+	// maxLostKVCaches is the number of lost KV caches after which the decode endpoint prefills the prompt itself.
+	maxLostKVCaches = 2
+	// A prefill attempt, including the time queued at the endpoint, is limited to minPrefillTimeout plus
+	// prefillTimeoutFactor times its expected duration. A prompt that is sent elsewhere because its endpoint is busy is
+	// processed twice, which makes all endpoints busier.
+	minPrefillTimeout    = 800 * time.Millisecond
+	prefillTimeoutFactor = 2
+	// kvTransferMargin is subtracted from the lifetime of a KV cache, for its transfer to the decode endpoint.
+	kvTransferMargin = 60 * time.Millisecond
+)
+
 // mayPrefill reports whether a prefill call may be made. The first call of a generation is free; each further one is
 // taken from the retry budget.
 func (f *Forwarder) mayPrefill(g *generation) bool {
--- a/internal/proxy/forwarder/reservation.go
+++ b/internal/proxy/forwarder/reservation.go
@@ -2,10 +2,20 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
+const (
+	// reservationTTL is how long a decode endpoint keeps a reservation. It covers the prefill of the prompt.
+	reservationTTL = 1500 * time.Millisecond
+	// reserveTimeout limits the call that makes a reservation.
+	reserveTimeout = 400 * time.Millisecond
+	// releaseTimeout limits the call that frees a KV cache or releases a reservation.
+	releaseTimeout = time.Second
+)
+
 // reserve reserves capacity at the decode endpoint before the prefill, because other gateways may have filled the
 // endpoint since their last message. If the reservation fails, the request is queued for another plan. reserve returns
 // false if it has answered the request.
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/routing/ejector"
+	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 )
 
 const (
@@ -79,8 +80,8 @@
 	sortedNodes []*node
 	// gateways is the number of gateways that send requests to the endpoints, at least one.
 	gateways int
-	// arrivals holds the recent requests of this gateway by service.
-	arrivals map[string]arrivals
+	// arrivals counts the recent requests of this gateway by service.
+	arrivals map[string]decayer.Sum
 	rand     *rand.Rand
 	// candidates is reused between calls to avoid allocations.
 	candidates []candidate
@@ -90,7 +91,7 @@
 // endpoints.
 func New(domain string, r *rand.Rand) *Balancer {
 	return &Balancer{
-		domain: domain, nodes: map[string]*node{}, gateways: 1, arrivals: map[string]arrivals{}, rand: r,
+		domain: domain, nodes: map[string]*node{}, gateways: 1, arrivals: map[string]decayer.Sum{}, rand: r,
 	}
 }
 
@@ -129,7 +130,7 @@
 // all may be ejected and one of them may work again. Acquire returns nil if all endpoints are excluded or none
 // exists.
 func (b *Balancer) Acquire(service string, excludedIDs map[string]bool, now time.Duration) *Endpoint {
-	b.recordArrival(service, now)
+	b.arrivals[service] = b.arrivals[service].With(1, arrivalDecayTime, now)
 	n := b.selectNode(service, excludedIDs, now, false)
 	if n == nil {
 		n = b.selectNode(service, excludedIDs, now, true)
@@ -142,23 +143,6 @@
 	return &e
 }
 
-// arrivals is the decaying count of requests of one service at this gateway, as of a time.
-type arrivals struct {
-	count float64
-	at    time.Duration
-}
-
-// recordArrival counts a request of a service.
-func (b *Balancer) recordArrival(service string, now time.Duration) {
-	a := b.arrivals[service]
-	b.arrivals[service] = arrivals{count: a.decayed(now) + 1, at: now}
-}
-
-// decayed returns the count, decayed to the current time.
-func (a arrivals) decayed(now time.Duration) float64 {
-	return a.count * math.Exp(-(now-a.at).Seconds()/arrivalDecayTime.Seconds())
-}
-
 // selectNode returns an endpoint of a service, or nil. Ejected endpoints are considered only if includeEjected is set.
 func (b *Balancer) selectNode(
 	service string, excludedIDs map[string]bool, now time.Duration, includeEjected bool,
@@ -185,7 +169,7 @@
 		b.candidates[i].cost = b.cost(b.candidates[i].node, meanPeerRequests, now)
 	}
 	meanAge := reportAge / time.Duration(len(b.candidates))
-	peerRate := b.arrivals[service].decayed(now) / arrivalDecayTime.Seconds() * float64(b.gateways-1)
+	peerRate := b.arrivals[service].Value(arrivalDecayTime, now) / arrivalDecayTime.Seconds() * float64(b.gateways-1)
 	return b.pick(1 + peerRate*meanAge.Seconds())
 }
 
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -1,6 +1,6 @@
 // Package controller holds all decisions of one gateway behind one lock: which requests may run, on which endpoints,
 // and what the peers have decided in the meantime. The decisions themselves are made in planner, balancer,
-// rebalancer, capper, retrier and crashtracker.
+// profiler, rebalancer, fencer, capper, retrier and crashtracker.
 package controller
 
 import (
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -15,6 +15,7 @@
 	"sort"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
 )
 
@@ -173,9 +174,8 @@
 	queues map[string]*scheduler.Scheduler[*job]
 	// jobs holds the queued and running requests by request ID.
 	jobs map[uint64]*job
-	// startCount is the exponentially decaying count of generations started by this gateway, as of startCountAt.
-	startCount   float64
-	startCountAt time.Duration
+	// recentStarts counts the recently started generations of this gateway.
+	recentStarts decayer.Sum
 	// runBuffer and candidates are reused between calls to avoid allocations.
 	runBuffer  []Run
 	candidates []candidate
@@ -365,7 +365,7 @@
 		if j.prefilling {
 			p.schedulePrefill(j, now)
 		}
-		p.recordStart(now)
+		p.recentStarts = p.recentStarts.With(1, startRateWindow, now)
 		decisions = append(decisions, Decision{RequestID: j.ID, Plan: plan})
 	}
 }
--- a/internal/routing/planner/queue.go
+++ b/internal/routing/planner/queue.go
@@ -1,7 +1,6 @@
 package planner
 
 import (
-	"math"
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
@@ -40,21 +39,10 @@
 	return q
 }
 
-// recordStart counts a generation that starts now.
-func (p *Planner) recordStart(now time.Duration) {
-	p.startCount = p.decayedStartCount(now) + 1
-	p.startCountAt = now
-}
-
-// decayedStartCount returns the count of started generations, decayed to the current time.
-func (p *Planner) decayedStartCount(now time.Duration) float64 {
-	return p.startCount * math.Exp(-(now-p.startCountAt).Seconds()/startRateWindow.Seconds())
-}
-
 // expectedWait returns the expected wait of a request that joins the queue now, from the rate at which this gateway
 // recently started generations. The rate is taken as at least 0.5 per second.
 func (p *Planner) expectedWait(q *scheduler.Scheduler[*job], now time.Duration) time.Duration {
-	rate := max(0.5, p.decayedStartCount(now)/startRateWindow.Seconds())
+	rate := max(0.5, p.recentStarts.Value(startRateWindow, now)/startRateWindow.Seconds())
 	queued := q.Len(scheduler.Interactive) + q.Len(scheduler.Draft)
 	return time.Duration(float64(queued) / rate * float64(time.Second))
 }
