--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -109,7 +109,7 @@
 	// OrderAgesMs holds, by endpoint, the age in ms of the latest order to change the stage. The order is to become a
 	// decode endpoint unless PrefillOrders names the endpoint.
 	OrderAgesMs   map[string]int64 `json:"order,omitempty"`
-	PrefillOrders []string         `json:"toread,omitempty"`
+	PrefillOrders []string         `json:"prefills,omitempty"`
 	// FencingToken is the highest fencing token that the sender has used or learned of.
 	FencingToken int64 `json:"fence,omitempty"`
 	// Usages holds the endpoint time that recent generations of the sender used, by service.
--- a/internal/fleet/broadcaster/message_test.go
+++ b/internal/fleet/broadcaster/message_test.go
@@ -12,6 +12,8 @@
 		From: "10.0.0.1:7500", Incarnation: 7, Sequence: 9, ConfigVersion: 12, ConfigAgeMs: 300,
 		Loads:          []Load{{Endpoint: "e1", RunningRequests: [][3]int{{5000, 4000, 120}}, PrefillBacklogTokens: 10}},
 		AdmittedTotals: map[string]float64{"acc": 1000}, PeerAddresses: []string{"10.0.0.2:7500"},
+		OrderAgesMs: map[string]int64{"e2": 40}, PrefillOrders: []string{"e2"}, FencingToken: 2333777612036513,
+		Usages: map[string]Usage{"m": {Generations: 60.5, PrefillMillis: 6300, DecodeMillis: 21000.125}},
 	}
 	b, err := m.encode()
 	if err != nil {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -187,8 +187,8 @@
 	d.supervisor.Add(d.controller)
 	d.supervisor.Add(d.broadcaster)
 	d.supervisor.Add(&orderSender{
-		name: d.options.Name, clock: clock.SinceBoot, controller: d.controller, stageSwitcher: d.dependencies.StageSwitcher, ready: d.Ready,
-		log:          d.log,
+		name: d.options.Name, clock: clock.SinceBoot, controller: d.controller,
+		stageSwitcher: d.dependencies.StageSwitcher, ready: d.Ready, log: d.log,
 		leaderStatus: func() (bool, int, int) { return d.broadcaster.LeaderStatus(peerTimeout) },
 	})
 	d.supervisor.Add(&connectionSweeper{pool: d.dependencies.ConnectionPool})
