--- a/gateway/admitter/admitter.go
+++ b/gateway/admitter/admitter.go
@@ -52,12 +52,6 @@
 // an effect.
 type Settlement func(unused float64)
 
-// grant is a debit that was charged to the own share for a peer.
-type grant struct {
-	ticket    limiter.Ticket
-	grantedAt time.Duration
-}
-
 // Admitter owns the shares of one gateway and charges requests to them. It is safe for concurrent use.
 type Admitter struct {
 	// self is the name of this gateway.
@@ -173,38 +167,6 @@
 	}
 }
 
-// HandleDebit charges a peer's debit to the own share and returns how many tokens were charged and the ID for the
-// settlement. It charges none while maxGrants debits are open.
-func (a *Admitter) HandleDebit(d fleet.DebitRequest) fleet.DebitResponse {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.dropExpiredGrants()
-	if len(a.grants) >= maxGrants {
-		return fleet.DebitResponse{}
-	}
-	ticket, granted := a.limiter.Lend(d.Account, d.Tokens, maxDebitDuration, a.now(), wallClock())
-	if granted == 0 {
-		return fleet.DebitResponse{}
-	}
-	a.lastGrantID++
-	a.grants[a.lastGrantID] = grant{ticket: ticket, grantedAt: a.now()}
-	a.stats.PeerDebits++
-	return fleet.DebitResponse{ChargedTokens: granted, GrantID: a.lastGrantID}
-}
-
-// HandleSettle returns the unused tokens of a peer's debit to the own share. A settlement of an unknown debit, or of
-// one that is settled already, is ignored.
-func (a *Admitter) HandleSettle(s fleet.SettleRequest) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	g, ok := a.grants[s.GrantID]
-	if !ok {
-		return
-	}
-	delete(a.grants, s.GrantID)
-	a.limiter.Settle(g.ticket, s.UnusedTokens, a.now())
-}
-
 // UpdateView applies a version of the list of gateways. readStartedAt is when its read from the platform began; it is
 // zero where the list came from a peer.
 func (a *Admitter) UpdateView(v allocator.View, readStartedAt time.Time) {
@@ -373,19 +335,6 @@
 	return peers
 }
 
-// dropExpiredGrants drops debits that were not settled within grantLifetime. It does so only when half of maxGrants is
-// in use, because it visits every debit. The caller must hold a.mu.
-func (a *Admitter) dropExpiredGrants() {
-	if len(a.grants) < maxGrants/2 {
-		return
-	}
-	for id, g := range a.grants {
-		if a.now()-g.grantedAt > grantLifetime {
-			delete(a.grants, id)
-		}
-	}
-}
-
 // domainOf returns the failure domain of a member of a view, or an empty string where it is not known.
 func domainOf(v allocator.View, name string) string {
 	if i, ok := slices.BinarySearch(v.Members, name); ok && i < len(v.Domains) {
