--- a/cmd/pistachiovane/cmds/edge_stall_test.go
+++ b/cmd/pistachiovane/cmds/edge_stall_test.go
@@ -8,13 +8,6 @@
 	"github.com/pistachiovane/pistachiovane/platform/standin"
 )
 
-// generateWithBudget sends a generation whose caller waits for the given number of ms.
-func (env *testEnv) generateWithBudget(path, budgetMS string) response {
-	env.t.Helper()
-	return env.call(http.MethodPost, path, "X-Pistachiovane-Token-Counts", "100,100", "X-Pistachiovane-Model", "m",
-		"X-Pistachiovane-Time-Budget-Ms", budgetMS)
-}
-
 // Callers abandon a stream that pauses for too long. A stalled endpoint that sends single bytes of an event now and
 // then, or nothing, held a stream until its caller left, although another endpoint could have continued it.
 func TestEdgeContinuesStalledStream(t *testing.T) {
--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -92,7 +92,14 @@
 // generate sends a generation with 100 prompt tokens.
 func (env *testEnv) generate(path string) response {
 	env.t.Helper()
-	return env.call(http.MethodPost, path, "X-Pistachiovane-Token-Counts", "100,100", "X-Pistachiovane-Model", "m")
+	return env.generateWithBudget(path, "3000")
+}
+
+// generateWithBudget sends a generation with 100 prompt tokens whose caller waits for the given number of ms.
+func (env *testEnv) generateWithBudget(path, budgetMS string) response {
+	env.t.Helper()
+	return env.call(http.MethodPost, path, "X-Pistachiovane-Token-Counts", "100,100", "X-Pistachiovane-Model", "m",
+		"X-Pistachiovane-Time-Budget-Ms", budgetMS)
 }
 
 // serviceRuns returns the number of requests that the two endpoints of the plain service have run.
--- a/internal/limits/capper/capper_test.go
+++ b/internal/limits/capper/capper_test.go
@@ -3,14 +3,13 @@
 import (
 	"flag"
 	"math/rand/v2"
-	"os"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/pistachiovane/pistachiovane/internal/ci/skipper"
 	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
 )
 
@@ -136,8 +135,8 @@
 // The same with fleets that are larger than the settings of a process tell. A restarted gateway then assumes too few
 // others until it has heard of them, and on one side of a partition it does not.
 func TestAccountExceedsLimitInLargeFleet(t *testing.T) {
-	if known, err := os.ReadFile("../../../KNOWN-RED.txt"); err != nil || strings.Contains(string(known), t.Name()) {
-		t.Skipf("listed in KNOWN-RED.txt (%v)", err)
+	if skipper.New(t, "../../../KNOWN-RED.txt").Lists(t) {
+		t.Skip("listed in KNOWN-RED.txt")
 	}
 	t.Run("large", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6, 10, 25, "400") })
 	t.Run("small", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3, 10, 25, "400") })
@@ -284,15 +283,8 @@
 func TestUnevenArrivalAtManyGatewaysIsNotRefused(t *testing.T) {
 	for _, gateways := range []int{5, 25, 103} {
 		t.Run(strconv.Itoa(gateways), func(t *testing.T) {
-			o := options
-			o.PeerTimeoutPerGateway = 12 * time.Millisecond
 			interval := max(100*time.Millisecond, time.Duration(gateways)*4*time.Millisecond)
-			f := &fleet{tokensPerSecond: largeTokensPerSecond, partitions: make([]int, gateways)}
-			for i := range gateways {
-				f.cappers, f.incarnations = append(f.cappers, nil), append(f.incarnations, 0)
-				f.names = append(f.names, strconv.Itoa(i))
-				f.start(i)
-			}
+			f := newFleet(gateways, largeTokensPerSecond)
 			for f.now < 5*time.Second {
 				f.now += interval
 				f.exchangeTotals()
--- a/internal/routing/planner/rates_test.go
+++ b/internal/routing/planner/rates_test.go
@@ -8,6 +8,11 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
+// uncontendedPrefill returns how long a prompt takes at an endpoint that has nothing else to do.
+func uncontendedPrefill(tokens int) time.Duration {
+	return 93*time.Millisecond + time.Duration(tokens)*24*time.Microsecond
+}
+
 // runOne submits a request for a prompt of 5000 tokens at a time and reports its prefill and decode.
 func runOne(
 	t *testing.T, p *planner.Planner, id uint64, now, prefill time.Duration, tokens int, decode time.Duration,
@@ -93,7 +98,7 @@
 	var c planner.DecodeCost
 	for i := range 60 {
 		tokens := 2000 + rng.IntN(8000)
-		prefill := 93*time.Millisecond + time.Duration(tokens)*24*time.Microsecond
+		prefill := uncontendedPrefill(tokens)
 		c = runPrompt(t, p, tokens, uint64(i+1), time.Duration(i)*10*time.Second, prefill, 460, 3*time.Second)
 		want := time.Duration(tokens) * 24 * time.Microsecond
 		if i > 30 && (c.PrefillTime < want*85/100 || c.PrefillTime > want*115/100) {
@@ -119,7 +124,7 @@
 			t.Fatalf("request %d: got %+v, want a start with a prefill endpoint", id, d)
 		}
 		counts[d[0].Plan.Prefill.ID]++
-		whole := 93*time.Millisecond + time.Duration(r.PromptTokens)*24*time.Microsecond
+		whole := uncontendedPrefill(r.PromptTokens)
 		p.RecordPrefill(id, time.Duration(float64(whole)*(0.67+0.66*rng.Float64())), now+whole)
 		p.End(id, now+whole)
 	}
@@ -152,7 +157,7 @@
 		if len(d) != 1 || d[0].Plan == nil || d[0].Plan.Prefill == nil {
 			t.Fatalf("request %d: got %+v, want a start with a prefill endpoint", id, d)
 		}
-		whole := 93*time.Millisecond + time.Duration(r.PromptTokens)*24*time.Microsecond
+		whole := uncontendedPrefill(r.PromptTokens)
 		if d[0].Plan.Prefill.ID == "e00" {
 			if now < slowUntil {
 				whole *= 4
--- a/load/runner/bounds_test.go
+++ b/load/runner/bounds_test.go
@@ -1,14 +1,13 @@
 package runner
 
 import (
-	"bufio"
 	_ "embed"
 	"math"
 	"os"
-	"strings"
 	"testing"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/ci/skipper"
 	"github.com/pistachiovane/pistachiovane/pkg/inifile"
 )
 
@@ -90,35 +89,18 @@
 	return v >= b.minValue && v <= b.maxValue
 }
 
-// readKnownRed returns the names of the tests that KNOWN-RED.txt lists as failing for a known fault.
-func readKnownRed(t *testing.T) map[string]bool {
-	t.Helper()
-	f, err := os.Open("../../KNOWN-RED.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = f.Close() }()
-	out := make(map[string]bool)
-	for scanner := bufio.NewScanner(f); scanner.Scan(); {
-		if name, ok := strings.CutPrefix(scanner.Text(), "test: "); ok {
-			out[name] = true
-		}
-	}
-	return out
-}
-
 // TestBounds guards against changes that lower the quality of service. It simulates a run for every bound of
 // bounds.ini and compares the metric with the bound. A bound that names a policy which switches a mechanism off
 // must fail under that policy; otherwise it could not detect the loss of the mechanism. A missed bound that
 // KNOWN-RED.txt lists is printed and skipped.
 func TestBounds(t *testing.T) {
-	knownRed := readKnownRed(t)
+	knownRed := skipper.New(t, "../../KNOWN-RED.txt")
 	for _, b := range readBounds(t) {
 		t.Run(b.name, func(t *testing.T) {
 			t.Parallel()
 			v := measureMetric(t, b, "probe")
 			if !b.isMet(v) {
-				if knownRed[t.Name()] {
+				if knownRed.Lists(t) {
 					t.Skipf("known red: got %s %.4f, want it within [%v, %v]", b.metric, v, b.minValue, b.maxValue)
 				}
 				t.Errorf("got %s %.4f, want it within [%v, %v]", b.metric, v, b.minValue, b.maxValue)
