Simpler: fit once per measurement, walk peers only where needed, one decay factor

The regression of prefills is derived when a measurement arrives instead of for every endpoint of each placement. The capper looks at its peers only if the plain limit is exceeded. decayer.Factor serves profiler and balancer too. A conn of the exchanger embeds its limitedConn instead of holding the same connection twice. changesStage, a condition with a wrong comment on a lock, is inlined; the rebalancer calls takeEndpoints in one place; firstEventTimeoutFactor is beside its use.

--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -171,7 +171,7 @@
 		return startupWait + time.Duration(missingTokens/a.limit.TokensPerSecond*float64(time.Second)), false
 	}
 	unreportedTokens := c.unreportedTokens(a, now)
-	if unreportedTokens+tokens > c.maxUnreportedTokens(a, tokens, unreportedTokens, now) {
+	if !c.mayAdmitUnreported(a, tokens, unreportedTokens, now) {
 		return peerReportWait, false
 	}
 	a.availableTokens -= tokens
@@ -182,23 +182,25 @@
 	return 0, true
 }
 
-// maxUnreportedTokens returns how many tokens of an account this gateway may admit between two reports of its peers.
-// tokens is the size of the present request and unreportedTokens what was admitted since the last report.
-func (c *Capper) maxUnreportedTokens(a *account, tokens, unreportedTokens float64, now time.Duration) float64 {
+// mayAdmitUnreported reports whether this gateway may admit a request of an account before its peers have reported again.
+// unreportedTokens is what it has admitted since their last reports.
+func (c *Capper) mayAdmitUnreported(a *account, tokens, unreportedTokens float64, now time.Duration) bool {
 	limit := max((a.availableTokens+unreportedTokens)/float64(c.gatewayCount()), minUnreportedRequests*tokens)
-	if c.gatewayCount() < minLargeFleet {
-		return limit
+	if unreportedTokens+tokens <= limit {
+		return true
 	}
-	return max(limit, unreportedToleranceRatio*c.toleranceTokens(a.limit)*c.trafficShare(a.limit.Account, a, now))
+	return c.gatewayCount() >= minLargeFleet &&
+		unreportedTokens+tokens <= unreportedToleranceRatio*c.toleranceTokens(a.limit)*c.trafficShare(a, now)
 }
 
 // trafficShare returns the part of the recent admissions of an account that this gateway has made, or somewhat more than
 // an equal part among the gateways that made some, if that is more.
-func (c *Capper) trafficShare(name string, a *account, now time.Duration) float64 {
+func (c *Capper) trafficShare(a *account, now time.Duration) float64 {
 	own := a.recentTokens.Value(recentDecayTime, now)
 	total, active := own, 1
 	for _, p := range c.peers {
-		if recent := p.recentTokens[name]; recent.Value(recentDecayTime, now) > 0 && recent.Age(now) <= recentMaxAge {
+		recent, admitted := p.recentTokens[a.limit.Account]
+		if admitted && recent.Age(now) <= recentMaxAge {
 			total += recent.Value(recentDecayTime, now)
 			active++
 		}
--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -192,9 +192,9 @@
 		go c.writeRequest(buffers, writeDone)
 	}
 	for range maxSkippedResponses + 1 {
-		c.limited.limitHead()
+		c.limitHead()
 		response, err := http.ReadResponse(c.reader, r.Head) //nolint:bodyclose // Response.Close ends the exchange
-		c.limited.unlimit()
+		c.unlimit()
 		if err != nil {
 			return nil, &Failure{SendState: PossiblySent, Cause: errors.Wrap(err, "read response")}
 		}
@@ -285,7 +285,7 @@
 	e.openedConnections++
 	e.mu.Unlock()
 	limited := &limitedConn{Conn: raw}
-	return &conn{Conn: raw, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	return &conn{limitedConn: limited, address: address, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 // popIdle removes and returns the most recently used idle connection to an address, or nil if there is none.
@@ -315,12 +315,11 @@
 
 // conn is a connection to an endpoint.
 type conn struct {
-	net.Conn
+	*limitedConn
 	// address is the key of the connection in the pool.
 	address string
-	// reader reads from limited, which reads from Conn and limits the heads of responses.
-	limited *limitedConn
-	reader  *bufio.Reader
+	// reader reads from limitedConn.
+	reader *bufio.Reader
 	// expiresAt is the time on the exchanger's clock from which an idle connection is not reused.
 	expiresAt time.Duration
 }
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -9,12 +9,8 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
-const (
-	// maxDecodeAttempts limits the decode attempts of a generation.
-	maxDecodeAttempts = 4
-	// firstEventTimeoutFactor times the latency target is how long a caller is assumed to wait for the first event.
-	firstEventTimeoutFactor = 4
-)
+// maxDecodeAttempts limits the decode attempts of a generation.
+const maxDecodeAttempts = 4
 
 // generation is a request for a model service in progress.
 type generation struct {
--- a/internal/proxy/forwarder/stall.go
+++ b/internal/proxy/forwarder/stall.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// stallTimeoutRatio times the pause after which callers abandon a stream is the longest time without a complete event.
-// The rest is for the prefill at another endpoint.
-const stallTimeoutRatio = 0.65
+const (
+	// firstEventTimeoutFactor times the latency target is how long a caller is assumed to wait for the first event.
+	firstEventTimeoutFactor = 4
+	// stallTimeoutRatio times the pause after which callers abandon a stream is the longest time without a complete event.
+	// The rest is for the prefill at another endpoint.
+	stallTimeoutRatio = 0.65
+)
 
 // stallWatch cancels an attempt that delivers no complete event for too long: bytes of an event that is never completed
 // are no progress. Only streams that may be resumed are watched, because another endpoint can continue them. For others,
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -8,8 +8,9 @@
 package balancer
 
 import (
-	"math"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -184,11 +185,11 @@
 // cheapest ones equal: with fresh reports, the cheapest candidate gets the request; with old ones, all gateways would
 // send their requests to the same candidate, so the draw spreads them.
 func (b *Balancer) pick(unseen float64) *node {
-	sort.Slice(b.candidates, func(i, j int) bool { return b.candidates[i].cost < b.candidates[j].cost })
+	slices.SortFunc(b.candidates, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
 	level := b.candidates[0].cost
 	slots, filled := 0.0, 0
 	for remaining := unseen; filled < len(b.candidates); {
-		slots += float64(max(1, b.candidates[filled].node.Slots))
+		slots += b.candidates[filled].node.slots()
 		filled++
 		if filled == len(b.candidates) || (b.candidates[filled].cost-level)*slots >= remaining {
 			level += remaining / slots
@@ -199,7 +200,7 @@
 	}
 	draw := b.rand.Float64() * unseen
 	for _, c := range b.candidates[:filled] {
-		draw -= (level - c.cost) * float64(max(1, c.node.Slots))
+		draw -= (level - c.cost) * c.node.slots()
 		if draw < 0 {
 			return c.node
 		}
@@ -218,16 +219,21 @@
 	case n.reportedAt > 0:
 		requests += meanPeerRequests
 	}
-	cost := requests / float64(max(1, n.Slots))
+	cost := requests / n.slots()
 	if n.Domain != b.domain {
 		cost += remoteDomainCost
 	}
 	return cost * (1 + failurePenalty*n.decayedFailureRatio(now))
 }
 
+// slots returns the number of requests that the endpoint runs concurrently, at least one.
+func (n *node) slots() float64 {
+	return float64(max(1, n.Slots))
+}
+
 // decayedFailureRatio returns the failure ratio, which decays while the endpoint gets no requests.
 func (n *node) decayedFailureRatio(now time.Duration) float64 {
-	return n.failureRatio * math.Exp(-(now-n.lastOutcomeAt).Seconds()/failureDecayTime.Seconds())
+	return n.failureRatio * decayer.Factor(now-n.lastOutcomeAt, failureDecayTime)
 }
 
 // Release stops counting a request on its endpoint. Unknown endpoints are ignored.
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -180,7 +180,7 @@
 		if e.Leaving {
 			continue
 		}
-		if order, ordered := recent[e.ID]; changesStage(order, ordered, e.Prefill) {
+		if order, ordered := recent[e.ID]; ordered && order.ToPrefill != e.Prefill {
 			// The endpoint is changing its stage and the list still shows the old one.
 			continue
 		}
--- a/internal/routing/controller/stages.go
+++ b/internal/routing/controller/stages.go
@@ -88,12 +88,6 @@
 	return c.fencer.Next(gateway, wallTime)
 }
 
-// changesStage reports whether an endpoint that the list shows in one stage has been ordered to take the other one. The
-// lock must be held.
-func changesStage(order rebalancer.RecentOrder, ordered, listedPrefill bool) bool {
-	return ordered && order.ToPrefill != listedPrefill
-}
-
 // composeStages adds the recent orders, the fencing token and the use of endpoint time to a message. The lock must be
 // held.
 func (c *Controller) composeStages(m *broadcaster.Message, now time.Duration) {
--- a/internal/routing/planner/latency.go
+++ b/internal/routing/planner/latency.go
@@ -21,6 +21,11 @@
 type latencyModel struct {
 	// The sums of the weights, of the lengths in tokens, of the durations in seconds, and of their products.
 	weight, length, duration, lengthSquared, lengthDuration float64
+	// overhead is the part of the duration that does not depend on the length, and tokensPerSecond the speed without it.
+	// The speed is zero while too little is known. Both are derived from the sums after each measurement, because every
+	// placement reads them for every endpoint.
+	overhead        time.Duration
+	tokensPerSecond float64
 }
 
 // add adds a measured prefill.
@@ -31,20 +36,20 @@
 	m.duration = m.duration*latencyDecay + y
 	m.lengthSquared = m.lengthSquared*latencyDecay + x*x
 	m.lengthDuration = m.lengthDuration*latencyDecay + x*y
+	m.overhead, m.tokensPerSecond = m.fit()
 }
 
-// fit returns the part of the duration that does not depend on the length, and the speed without it, in tokens per
-// second. ok is false while too little is known.
-func (m *latencyModel) fit() (overhead time.Duration, tokensPerSecond float64, ok bool) {
+// fit returns the overhead and the speed by the present sums, or zeros if too little is known.
+func (m *latencyModel) fit() (overhead time.Duration, tokensPerSecond float64) {
 	if m.weight < minLatencySamples {
-		return 0, 0, false
+		return 0, 0
 	}
 	meanLength, meanDuration := m.length/m.weight, m.duration/m.weight
 	variance := m.lengthSquared/m.weight - meanLength*meanLength
 	if variance < minLengthVariation*minLengthVariation*meanLength*meanLength {
-		return 0, 0, false
+		return 0, 0
 	}
 	slope := (m.lengthDuration/m.weight - meanLength*meanDuration) / variance
 	slope = min(meanDuration/meanLength, max(slope, meanDuration/meanLength/maxOverheadRatio))
-	return time.Duration((meanDuration - slope*meanLength) * float64(time.Second)), 1 / slope, true
+	return time.Duration((meanDuration - slope*meanLength) * float64(time.Second)), 1 / slope
 }
--- a/internal/routing/planner/rates.go
+++ b/internal/routing/planner/rates.go
@@ -142,8 +142,8 @@
 		m.add(s.PromptTokens, duration)
 	}
 	rate := s.TokensPerSecond
-	if overhead, _, ok := m.fit(); ok && duration > overhead {
-		rate = float64(s.PromptTokens) / (duration - overhead).Seconds()
+	if m.tokensPerSecond > 0 && duration > m.overhead {
+		rate = float64(s.PromptTokens) / (duration - m.overhead).Seconds()
 	}
 	n.prefillRate = nextPrefillRate(n.prefillRate, rate, s.Uncontended)
 	n.prefillRateAt = now
@@ -152,8 +152,8 @@
 
 // typicalPrefill returns the overhead of a prefill and the speed that is assumed of the endpoints of a service.
 func (p *Planner) typicalPrefill(service string) (overhead time.Duration, rate float64) {
-	if overhead, rate, ok := p.latencyModel(service).fit(); ok {
-		return overhead, rate
+	if m := p.latencyModel(service); m.tokensPerSecond > 0 {
+		return m.overhead, m.tokensPerSecond
 	}
 	return 0, p.prefillRate
 }
--- a/internal/routing/profiler/profiler.go
+++ b/internal/routing/profiler/profiler.go
@@ -7,8 +7,9 @@
 package profiler
 
 import (
-	"math"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 )
 
 // Usage is the endpoint time that recent generations of a service used.
@@ -145,5 +146,5 @@
 	if r.usage.Generations == 0 {
 		return Usage{}
 	}
-	return r.usage.times(math.Exp(-max(0, now-r.at).Seconds() / p.options.DecayTime.Seconds()))
+	return r.usage.times(decayer.Factor(now-r.at, p.options.DecayTime))
 }
--- a/internal/routing/rebalancer/rebalancer.go
+++ b/internal/routing/rebalancer/rebalancer.go
@@ -131,10 +131,8 @@
 	if r.capacity(best, len(endpoints), usage) < minGain*r.capacity(current, len(endpoints), usage) {
 		return nil
 	}
-	if best > current {
-		return r.takeEndpoints(endpoints, true, min(allowed, best-current), now)
-	}
-	return r.takeEndpoints(endpoints, false, min(allowed, current-best), now)
+	toPrefill := best > current
+	return r.takeEndpoints(endpoints, toPrefill, min(allowed, max(best-current, current-best)), now)
 }
 
 // capacity returns how many times the measured usage the endpoints can serve per unit of time if the given number of
--- a/pkg/decayer/decayer.go
+++ b/pkg/decayer/decayer.go
@@ -7,6 +7,11 @@
 	"time"
 )
 
+// Factor returns the factor by which a quantity has decayed after a time. It is one for a negative time.
+func Factor(elapsed, decayTime time.Duration) float64 {
+	return math.Exp(-max(0, elapsed).Seconds() / decayTime.Seconds())
+}
+
 // Sum is an exponentially decaying sum. The zero value is an empty sum. Sums are values: With returns a new one.
 type Sum struct {
 	// amount is the sum at the time at, which is a reading of a monotonic clock.
@@ -19,7 +24,7 @@
 	if s.amount == 0 {
 		return 0
 	}
-	return s.amount * math.Exp(-max(0, now-s.at).Seconds()/decayTime.Seconds())
+	return s.amount * Factor(now-s.at, decayTime)
 }
 
 // Age returns the time since the latest change of the sum.
