Log when the removal of an entry is deferred and when it is applied

Two lines a batch now do, with the number of entries, up to 8 keys, the time left and the time since the removal was read. No change of behaviour; the volume is bounded by the number of updates.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -25,6 +25,8 @@
 	retryDelayStep = 150 * time.Millisecond
 	// maxRetryDelay bounds the delay after repeated failures.
 	maxRetryDelay = 600 * time.Millisecond
+	// maxLoggedKeys bounds the keys in one log line.
+	maxLoggedKeys = 8
 )
 
 // Item is one entry of the store, as of the revision that wrote or removed it.
@@ -91,9 +93,10 @@
 	lastSuccessAt time.Duration
 	failing       bool
 	retryDelay    time.Duration
-	// graceEndsAt is the time until which removals are deferred after an outage, and deferredRemovals holds their keys.
+	// graceEndsAt is the time until which removals are deferred after an outage. deferredRemovals holds, by key, the time
+	// at which a deferred removal was read.
 	graceEndsAt      time.Duration
-	deferredRemovals map[string]bool
+	deferredRemovals map[string]time.Duration
 	// refresh receives a value for each call of Refresh; further calls are dropped while one is pending.
 	refresh chan struct{}
 }
@@ -102,7 +105,7 @@
 func New(s Source, o Options, c clock.Clock, l *log.Logger, apply func(Update)) *Follower {
 	return &Follower{
 		source: s, options: o, clock: c, log: l, apply: apply,
-		items: map[string]Item{}, deferredRemovals: map[string]bool{}, refresh: make(chan struct{}, 1),
+		items: map[string]Item{}, deferredRemovals: map[string]time.Duration{}, refresh: make(chan struct{}, 1),
 	}
 }
 
@@ -240,7 +243,7 @@
 // replaceItems replaces the copy with the result of a full read. During the grace time, missing entries are kept and
 // their removal is deferred.
 func (f *Follower) replaceItems(items []Item, revision uint64, currentAt time.Duration) {
-	var changed []string
+	var changed, deferred []string
 	newItems := make(map[string]Item, len(items))
 	for _, i := range items {
 		newItems[i.Key] = i
@@ -255,18 +258,21 @@
 		}
 		if f.clock() < f.graceEndsAt {
 			newItems[key] = old
-			f.deferredRemovals[key] = true
+			if f.deferRemoval(key) {
+				deferred = append(deferred, key)
+			}
 			continue
 		}
 		changed = append(changed, key)
 	}
+	f.logDeferredRemovals(deferred)
 	f.items, f.revision, f.synced = newItems, revision, true
 	f.apply(Update{Items: f.items, ChangedKeys: changed, CurrentAt: currentAt, Revision: revision, FullRead: true})
 }
 
 // applyChanges applies the result of a watch to the copy. During the grace time, removals are deferred.
 func (f *Follower) applyChanges(items []Item, revision uint64, currentAt time.Duration) {
-	var changed []string
+	var changed, deferred []string
 	for _, i := range items {
 		if !i.Removed {
 			f.items[i.Key] = i
@@ -275,26 +281,55 @@
 			continue
 		}
 		if f.clock() < f.graceEndsAt {
-			f.deferredRemovals[i.Key] = true
+			if f.deferRemoval(i.Key) {
+				deferred = append(deferred, i.Key)
+			}
 			continue
 		}
 		delete(f.items, i.Key)
 		changed = append(changed, i.Key)
 	}
+	f.logDeferredRemovals(deferred)
 	f.revision = max(f.revision, revision)
 	f.apply(Update{Items: f.items, ChangedKeys: changed, CurrentAt: currentAt, Revision: f.revision})
 }
 
+// deferRemoval records that the removal of an entry was read during the grace time. It returns whether that was not
+// known before.
+func (f *Follower) deferRemoval(key string) bool {
+	if _, ok := f.deferredRemovals[key]; ok {
+		return false
+	}
+	f.deferredRemovals[key] = f.clock()
+	return true
+}
+
+// logDeferredRemovals logs the entries whose removal was just deferred, in one line for all of them.
+func (f *Follower) logDeferredRemovals(keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(keys)).Strs("keys", keys[:min(maxLoggedKeys, len(keys))]).
+		Uint64("revision", f.revision).Int64("grace_left_ms", (f.graceEndsAt - f.clock()).Milliseconds()).
+		Msg("store: removals deferred")
+}
+
 // applyDeferredRemovals removes the entries that were not written again by the end of the grace time.
 func (f *Follower) applyDeferredRemovals() {
-	if len(f.deferredRemovals) == 0 || f.clock() < f.graceEndsAt {
+	now := f.clock()
+	if len(f.deferredRemovals) == 0 || now < f.graceEndsAt {
 		return
 	}
 	var changed []string
-	for key := range f.deferredRemovals {
+	firstReadAt := now
+	for key, readAt := range f.deferredRemovals {
 		delete(f.items, key)
 		changed = append(changed, key)
+		firstReadAt = min(firstReadAt, readAt)
 	}
 	clear(f.deferredRemovals)
+	f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(changed)).
+		Strs("keys", changed[:min(maxLoggedKeys, len(changed))]).Int64("deferred_ms", (now - firstReadAt).Milliseconds()).
+		Msg("store: deferred removals applied")
 	f.apply(Update{Items: f.items, ChangedKeys: changed, CurrentAt: f.lastSuccessAt, Revision: f.revision})
 }
