--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -25,6 +25,8 @@
 	retryDelayStep = 150 * time.Millisecond
 	// maxRetryDelay bounds the delay after repeated failures.
 	maxRetryDelay = 600 * time.Millisecond
+	// paceCheckInterval is how often the pace is asked for during an interval.
+	paceCheckInterval = 250 * time.Millisecond
 	// maxLoggedKeys bounds the keys in one log line.
 	maxLoggedKeys = 8
 )
@@ -124,14 +126,25 @@
 			continue
 		}
 		f.retryDelay = 0
-		_, minInterval := f.options.Pace()
-		if remaining := minInterval - (f.clock() - startedAt); changes && remaining > 0 {
-			f.pause(ctx, f.untilNextCall(remaining), f.refresh)
+		if changes {
+			f.keepInterval(ctx, startedAt)
 		}
 	}
 	return ctx.Err()
 }
 
+// keepInterval waits until the shortest interval after a call that started at startedAt is over. It asks for the pace
+// again and again: the interval gets shorter when the gateways that read more often have gone.
+func (f *Follower) keepInterval(ctx context.Context, startedAt time.Duration) {
+	for {
+		_, minInterval := f.options.Pace()
+		remaining := f.untilNextCall(minInterval - (f.clock() - startedAt))
+		if remaining <= 0 || !f.pause(ctx, min(remaining, paceCheckInterval), f.refresh) {
+			return
+		}
+	}
+}
+
 // untilNextCall returns d, or the time until the removal of expired entries must be decided if that is earlier.
 func (f *Follower) untilNextCall(d time.Duration) time.Duration {
 	at, ok := f.removals.NextCall()
@@ -143,18 +156,19 @@
 }
 
 // pause waits for d, or until the context ends. A value from refresh ends it too; the next call then reads all entries.
-func (f *Follower) pause(ctx context.Context, d time.Duration, refresh <-chan struct{}) {
+// It returns whether it waited for d.
+func (f *Follower) pause(ctx context.Context, d time.Duration, refresh <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-timer.C:
-			return
+			return true
 		case <-refresh:
 			f.synced = false
-			return
+			return false
 		case <-f.removalsDue():
 			f.applyDueRemovals()
 		}
--- a/internal/fleet/follower/outage_test.go
+++ b/internal/fleet/follower/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/ci/skipper"
@@ -116,3 +117,32 @@
 		}
 	}
 }
+
+// A gateway that pauses because others read the list must read it itself soon after those have gone.
+func TestPauseOutlastsReaders(t *testing.T) {
+	const (
+		firstChangeAt = 10 * time.Second
+		lastChangeAt  = 10050 * time.Millisecond
+		leavesAt      = 10100 * time.Millisecond
+		readersGone   = 11500 * time.Millisecond
+	)
+	startedAt := time.Now()
+	o := listOptions
+	o.Pace = func() (time.Duration, time.Duration) {
+		if time.Since(startedAt) >= readersGone {
+			return readerPace.wait, readerPace.interval
+		}
+		return nonReaderPace.wait, nonReaderPace.interval
+	}
+	var v view
+	synctest.Test(t, func(t *testing.T) {
+		startedAt = time.Now()
+		changes := []change{
+			{at: firstChangeAt, key: "new-0"}, {at: lastChangeAt, key: "new-1"}, {at: leavesAt, key: "leaving", removed: true},
+		}
+		v = followInBubble(t, newTimedStore([]string{"leaving"}, changes, nil), o, readerPace, 20*time.Second)
+	})
+	if gone, ok := v.absentSince("leaving"); !ok || gone > leavesAt+removalBound {
+		t.Errorf("got the removal at %v applied at %v (%v), want it applied within %v", leavesAt, gone, ok, removalBound)
+	}
+}
--- a/internal/fleet/follower/timed_store_test.go
+++ b/internal/fleet/follower/timed_store_test.go
@@ -215,7 +215,9 @@
 // followInBubble is follow in a bubble of synctest.
 func followInBubble(t *testing.T, s *timedStore, o follower.Options, p pace, duration time.Duration) view {
 	t.Helper()
-	o.Pace = func() (time.Duration, time.Duration) { return p.wait, p.interval }
+	if o.Pace == nil {
+		o.Pace = func() (time.Duration, time.Duration) { return p.wait, p.interval }
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	var v view
