The age of what a peer reports includes the time for which its message waited

The check that should prevent it compared with the latest message composed; after a suspension the sending goroutine may run first, and then it passed.

Change: a message says when it was composed, on the sender's clock. The receiver compares with the fastest message of that incarnation and adds the difference to the ages of the configuration and of the reports of plain endpoints. The first message of an incarnation, and messages of older builds, count as 1 s late.

Evidence: TestMessageThatWaitedConfirmsConfig gets an age of 350 ms without the transit time, as before, and 4.35 s with it; 4.3 s is the least allowed.

--- a/internal/fleet/broadcaster/broadcaster.go
+++ b/internal/fleet/broadcaster/broadcaster.go
@@ -61,6 +61,8 @@
 	// sequence is the sequence number of its latest message.
 	sequence       uint64
 	lastReceivedAt time.Duration
+	// transit estimates the transit times of the messages of the incarnation.
+	transit transitClock
 	// needsAvailableTokens is set while the peer asks for the available tokens of the accounts.
 	needsAvailableTokens bool
 }
@@ -179,10 +181,10 @@
 	now := b.clock()
 	regular, needTokens, seeds := b.targets(now)
 	m, busy := b.state.Compose(false)
-	b.send(m, append(regular, seeds...))
+	b.send(m, now, append(regular, seeds...))
 	if len(needTokens) > 0 {
 		m, _ := b.state.Compose(true)
-		b.send(m, needTokens)
+		b.send(m, now, needTokens)
 	}
 	return busy
 }
@@ -199,7 +201,7 @@
 		to = append(to, p.address)
 	}
 	b.mu.Unlock()
-	b.send(Message{LoadsOnly: true, Loads: loads}, to)
+	b.send(Message{LoadsOnly: true, Loads: loads}, b.clock(), to)
 }
 
 // targets removes the peers that have timed out and returns the addresses to send to: peers that need no available
@@ -232,15 +234,15 @@
 	return regular, needTokens, seeds
 }
 
-// send completes a message with the sender and the next sequence number, and sends it to the given addresses. A message
-// that cannot be encoded is logged and dropped.
-func (b *Broadcaster) send(m Message, to []netip.AddrPort) {
+// send completes a message with the sender, the time at which it was composed and the next sequence number, and sends it to
+// the given addresses. A message that cannot be encoded is logged and dropped.
+func (b *Broadcaster) send(m Message, composedAt time.Duration, to []netip.AddrPort) {
 	if len(to) == 0 {
 		return
 	}
 	b.mu.Lock()
 	b.sequence++
-	m.From, m.Incarnation, m.Sequence = b.self, b.incarnation, b.sequence
+	m.From, m.Incarnation, m.Sequence, m.SentAtMs = b.self, b.incarnation, b.sequence, composedAt.Milliseconds()
 	if b.sequence%messagesPerAddressList == 1 && !m.LoadsOnly || b.clock()-b.lastPeerFoundAt < discoveryPeriod {
 		m.PeerAddresses = b.somePeerAddresses()
 	}
@@ -296,16 +298,16 @@
 			b.log.Warn().Err(err).Msg("gossip: message not understood")
 			continue
 		}
-		if b.recordSender(m) {
+		if b.recordSender(&m) {
 			b.state.Receive(m)
 		}
 	}
 }
 
-// recordSender records the sender of a message as a peer, and adds the peers that the message names. It returns false
-// if the message must be ignored: it is not newer than the latest one of that sender, its sender address is invalid, or
+// recordSender records the sender of a message as a peer, sets the transit time of the message, and adds the peers that it
+// names. It returns false if the message must be ignored: it is not newer than the latest one of that sender, its sender address is invalid, or
 // it comes from this gateway.
-func (b *Broadcaster) recordSender(m Message) bool {
+func (b *Broadcaster) recordSender(m *Message) bool {
 	address, err := netip.ParseAddrPort(m.From)
 	if err != nil || m.From == b.self {
 		return false
@@ -322,7 +324,15 @@
 	if p.incarnation == m.Incarnation && m.Sequence <= p.sequence {
 		return false
 	}
-	p.incarnation, p.sequence, p.lastReceivedAt = m.Incarnation, m.Sequence, b.clock()
+	now := b.clock()
+	if p.incarnation != m.Incarnation {
+		p.transit = transitClock{}
+	}
+	p.incarnation, p.sequence, p.lastReceivedAt = m.Incarnation, m.Sequence, now
+	m.TransitTime = unknownTransitTime
+	if m.SentAtMs > 0 {
+		m.TransitTime = p.transit.transitTime(time.Duration(m.SentAtMs)*time.Millisecond, now)
+	}
 	if m.LoadsOnly {
 		return true
 	}
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -37,12 +37,8 @@
 	// accounts.
 	totalsReportTime      = 2 * time.Second
 	messagesPerFullTotals = 16
-	// maxMessagePause is the longest pause between two messages composed by a process that runs without interruption.
-	// After a longer pause the process may have been suspended: messages that it receives then may have waited to be
-	// read, and the ages in them are too low.
-	maxMessagePause = time.Second
-	// assumedTransitTime is the assumed transit time of a message. It is added to the age of the configuration in
-	// the message.
+	// assumedTransitTime is the assumed transit time of the fastest message of a peer. It is added to the age of the
+	// configuration in a message, as is the time by which that message took longer.
 	assumedTransitTime = 50 * time.Millisecond
 )
 
@@ -96,9 +92,7 @@
 	peers map[string]bool
 	// announcer is nil if the gateway has no peers to send to. It is set before the first request.
 	announcer Announcer
-	// lastComposedAt is the time at which the last message was composed, composedMessages the number of messages so
-	// far.
-	lastComposedAt   time.Duration
+	// composedMessages is the number of messages composed so far.
 	composedMessages uint64
 	// wake starts the ticks of Serve after a generation was queued.
 	wake chan struct{}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -16,7 +16,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	c.lastComposedAt = now
 	m.ConfigVersion, m.ConfigAgeMs = version, age.Milliseconds()
 	for id, l := range c.planner.Loads(now) {
 		m.Loads = append(m.Loads, encodeLoad(id, l))
@@ -86,8 +85,7 @@
 
 // Receive applies a message from a peer. A message with only loads updates the loads of the named endpoints. A full
 // message replaces the load of the peer on all endpoints and also carries admitted totals, available tokens, orders,
-// usages, crash records, requests that endpoints reported, and the age of the configuration. That age is ignored if this
-// process may have been suspended.
+// usages, crash records, requests that endpoints reported, and the age of the configuration.
 func (c *Controller) Receive(m broadcaster.Message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -113,12 +111,12 @@
 	}
 	c.planner.UpdatePeerLoads(m.From, loads, now)
 	c.logEjectionChanges(m.From)
+	sentAt := now - m.TransitTime
 	for id, report := range m.EndpointRequests {
-		c.balancer.MergePeerReport(id, int(report[0]), now-time.Duration(report[1])*time.Millisecond)
-	}
-	if now-c.lastComposedAt < maxMessagePause {
-		c.tracker.ConfirmFromPeer(m.ConfigVersion, now-time.Duration(m.ConfigAgeMs)*time.Millisecond-assumedTransitTime)
+		c.balancer.MergePeerReport(id, int(report[0]), sentAt-time.Duration(report[1])*time.Millisecond)
 	}
+	confirmedAt := sentAt - time.Duration(m.ConfigAgeMs)*time.Millisecond - assumedTransitTime
+	c.tracker.ConfirmFromPeer(m.ConfigVersion, confirmedAt)
 }
 
 // decodeCrashRecords converts the crash records of a message.
--- a/internal/routing/controller/stages_test.go
+++ b/internal/routing/controller/stages_test.go
@@ -26,7 +26,8 @@
 // gateway is a controller under test with a clock that the test sets.
 type gateway struct {
 	*controller.Controller
-	now time.Duration
+	now     time.Duration
+	tracker *tracker.Tracker
 }
 
 // newGateway returns the controller of a gateway before nine endpoints, of which the first four are prefill endpoints.
@@ -34,8 +35,9 @@
 	t.Helper()
 	g := &gateway{}
 	clock := func() time.Duration { return g.now }
+	g.tracker = tracker.New(clock)
 	g.Controller = controller.New(controller.Components{
-		Clock: clock, Tracker: tracker.New(clock),
+		Clock: clock, Tracker: g.tracker,
 		Planner: planner.New(planner.Options{
 			Domain: "a", PrefillRate: 50000, DecodeRate: 1550, MaxMemoryFraction: 0.9, MaxPrefillWait: 450 * time.Millisecond,
 			MaxQueueWait: 2500 * time.Millisecond, MaxLoadAge: 1500 * time.Millisecond,
