A refresh of the configuration asks for its changes instead of reading all of it

A gateway that has not heard for a while that its configuration is the newest interrupted its watch and read everything anew. A watch from its revision that does not wait gives the same certainty; the store answers with the changes or without any, and with 410 where everything has to be read.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -89,6 +89,8 @@
 	currentAt time.Duration
 	// synced is false while all entries must be read (again), instead of only their changes.
 	synced bool
+	// refreshing is set if the next watch must not wait for changes.
+	refreshing bool
 	// failures is the number of calls that have failed since the latest success.
 	failures   int
 	retryDelay time.Duration
@@ -105,8 +107,9 @@
 	}
 }
 
-// Refresh interrupts the current watch or wait and reads all entries again. Callers use it if a peer has reported a
-// newer version of an entry. It never blocks and is safe for concurrent use.
+// Refresh interrupts the current watch or wait and asks the store for changes at once. Callers use it if a peer has reported
+// a newer version of an entry, or if the copy has not been confirmed for too long. It never blocks and is safe for
+// concurrent use.
 func (f *Follower) Refresh() {
 	select {
 	case f.refresh <- struct{}{}:
@@ -155,7 +158,7 @@
 	return max(0, min(d, at-f.clock()+time.Millisecond))
 }
 
-// pause waits for d, or until the context ends. A value from refresh ends it too; the next call then reads all entries.
+// pause waits for d, or until the context ends. A value from refresh ends it too; the next watch does not wait then.
 // It returns whether it waited for d.
 func (f *Follower) pause(ctx context.Context, d time.Duration, refresh <-chan struct{}) bool {
 	timer := time.NewTimer(d)
@@ -167,7 +170,7 @@
 		case <-timer.C:
 			return true
 		case <-refresh:
-			f.synced = false
+			f.refreshing = true
 			return false
 		case <-f.removalsDue():
 			f.applyDueRemovals()
@@ -176,7 +179,7 @@
 }
 
 // await runs a call to the store and returns its answer. A value from refresh interrupts the call; its error is
-// errRefreshRequested then, and the next call reads all entries.
+// errRefreshRequested then, and the next watch does not wait.
 func (f *Follower) await(ctx context.Context, do func(ctx context.Context) answer, refresh <-chan struct{}) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -189,7 +192,7 @@
 		case <-refresh:
 			cancel()
 			<-c.answer
-			f.synced = false
+			f.refreshing = true
 			return answer{err: errRefreshRequested}
 		case <-f.removalsDue():
 			f.applyDueRemovals()
@@ -230,15 +233,16 @@
 	return nil
 }
 
-// watch applies the next changes to the copy. While calls fail it does not wait for changes, so that the store's return
-// is noticed at once. changes is true if there were any.
+// watch applies the next changes to the copy. It does not wait for changes after Refresh, nor while calls fail, so that the
+// store's return is noticed at once. changes is true if there were any.
 func (f *Follower) watch(ctx context.Context) (changes bool, err error) {
 	startedAt := f.clock()
 	wait, _ := f.options.Pace()
 	wait = f.untilNextCall(wait)
-	if f.failures > 0 {
+	if f.refreshing || f.failures > 0 {
 		wait = 0
 	}
+	f.refreshing = false
 	a := f.await(ctx, func(ctx context.Context) answer {
 		items, revision, err := f.source.Watch(ctx, f.options.Prefix, f.revision, wait)
 		return answer{items: items, revision: revision, err: err}
