A gateway that missed its peers' messages reads the endpoint list itself

Change: messages carry the age of the sender's list, and a gateway knows up to when its own list is complete (`confirmer`). Peers confirm it only while no change can have been missed between their messages. After 3.5 s without confirmation it asks the store, at most once in 1.5 s; changes are repeated for 4 s, so that the two don't overlap.

--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -121,6 +121,9 @@
 	Usages map[string]Usage `json:"use,omitempty"`
 	// EndpointChanges holds the latest changes of the endpoint list.
 	EndpointChanges []EndpointChange `json:"list,omitempty"`
+	// ListAgeMs is the time in ms since the store last confirmed to the sender that it knows all changes of the endpoint
+	// list. It is nil if EndpointChanges may lack one that the sender learned recently.
+	ListAgeMs *int64 `json:"listage,omitempty"`
 	// PeerAddresses holds the addresses of some gateways that the sender knows.
 	PeerAddresses []string `json:"known,omitempty"`
 }
--- /dev/null
+++ b/internal/fleet/confirmer/confirmer.go
@@ -0,0 +1,59 @@
+// Package confirmer tracks up to which time a gateway knows all changes of the endpoint list. It learns them from the
+// store and from peers, which repeat each change in their messages for a while. A gateway that heard no peer for longer
+// has missed changes and must read the list itself.
+package confirmer
+
+import "time"
+
+// Options configures a Confirmer.
+type Options struct {
+	// RepeatTime is the time for which peers repeat a change in their messages.
+	RepeatTime time.Duration
+	// MaxAge is the age of the list from which it must be read. It must be less than RepeatTime.
+	MaxAge time.Duration
+	// ReadInterval is the shortest time between two reads.
+	ReadInterval time.Duration
+}
+
+// Confirmer holds the time up to which the list is complete. It is not safe for concurrent use.
+type Confirmer struct {
+	options Options
+	// currentAt is a time up to which all changes are known.
+	currentAt time.Duration
+	// lastReadAt is when ReadDue last returned true.
+	lastReadAt time.Duration
+}
+
+// New returns a Confirmer of a list that counts as complete now.
+func New(o Options, now time.Duration) *Confirmer {
+	return &Confirmer{options: o, currentAt: now, lastReadAt: now}
+}
+
+// ConfirmFromStore records that the store confirmed that the list was complete at the given time.
+func (c *Confirmer) ConfirmFromStore(at time.Duration) {
+	c.currentAt = max(c.currentAt, at)
+}
+
+// ConfirmFromPeer records a message that contains all changes its sender learned within RepeatTime before sentAt, and whose
+// sender knew all changes up to the time at. It confirms nothing if changes may have been missed before: those are no
+// longer in the message.
+func (c *Confirmer) ConfirmFromPeer(sentAt, at time.Duration) {
+	if c.currentAt < sentAt-c.options.RepeatTime {
+		return
+	}
+	c.currentAt = max(c.currentAt, at)
+}
+
+// Age returns the time since the list was known to be complete.
+func (c *Confirmer) Age(now time.Duration) time.Duration {
+	return now - c.currentAt
+}
+
+// ReadDue returns whether the list must be read now. It returns true at most once in ReadInterval.
+func (c *Confirmer) ReadDue(now time.Duration) bool {
+	if c.Age(now) < c.options.MaxAge || now-c.lastReadAt < c.options.ReadInterval {
+		return false
+	}
+	c.lastReadAt = now
+	return true
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
 	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/confirmer"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
@@ -73,7 +74,13 @@
 	minReaderWait    = 300 * time.Millisecond
 	readerWaitMargin = 200 * time.Millisecond
 	// changeGossipPeriod is how long a change of the endpoint list is sent to peers.
-	changeGossipPeriod = 3 * time.Second
+	changeGossipPeriod = 4 * time.Second
+	// maxTransitTime is the longest time that the fastest message of a peer takes.
+	maxTransitTime = 200 * time.Millisecond
+	// maxListAge is the age of the endpoint list from which it is read outside the usual watch, at most once in a
+	// minListReadInterval.
+	maxListAge          = 3500 * time.Millisecond
+	minListReadInterval = 1500 * time.Millisecond
 	// maxChangesPerMessage limits the endpoint changes in one message to a peer.
 	maxChangesPerMessage = 32
 	// removalRetention is how long a removed endpoint is remembered, so that an older entry does not bring it back.
@@ -141,8 +148,12 @@
 	// mu guards the fields below.
 	mu     sync.Mutex
 	lister *lister.Lister
-	// listComplete is set once the complete endpoint list has been read from the store.
-	listComplete bool
+	// listConfirmer knows how old the endpoint list is.
+	listConfirmer *confirmer.Confirmer
+	// listReadAt is when the complete endpoint list was first read from the store, and listConfirmedAt a time up to which
+	// the store has confirmed it since. Both are zero before.
+	listReadAt      time.Duration
+	listConfirmedAt time.Duration
 	// outdatedSince is when a peer first reported a newer configuration, or when the configuration was last read because
 	// of such a report. It is zero if the active configuration is not known to be outdated.
 	outdatedSince time.Duration
@@ -155,6 +166,7 @@
 	d := &Daemon{
 		options: o, dependencies: deps, log: logger, supervisor: supervision.New(o.Name, logger),
 		tracker: tracker.New(clock.SinceBoot), lister: lister.New(),
+		listConfirmer: confirmer.New(confirmerOptions(), clock.SinceBoot()),
 	}
 	d.controller = controller.New(controller.Components{
 		Clock: clock.SinceBoot, Tracker: d.tracker,
@@ -254,10 +266,12 @@
 		}
 	}
 	d.activateListChanges(changed, "store")
-	if !d.listComplete {
-		d.listComplete = true
+	if d.listReadAt == 0 {
+		d.listReadAt = now
 		d.lister.ForgetChanges()
 	}
+	d.listConfirmedAt = u.CurrentAt
+	d.listConfirmer.ConfirmFromStore(u.CurrentAt)
 }
 
 // decodeEntry returns the entry of a key in a store update. A missing entry counts as removed, and so does one that
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -38,15 +38,24 @@
 
 // Compose returns the state to send to a peer: that of the controller and the latest changes of the endpoint list. The
 // available tokens of the accounts are included if availableTokens is set. busy reports whether requests are in
-// progress. Compose is called regularly, so it also starts a read of the configuration if that was not confirmed for a
-// while.
+// progress. Compose is called regularly, so it also starts a read of the configuration or of the endpoint list if that was
+// not confirmed for a while.
 func (d *Daemon) Compose(availableTokens bool) (m broadcaster.Message, busy bool) {
 	m, busy = d.controller.Compose(availableTokens)
 	now := clock.SinceBoot()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rereadUnconfirmedConfig(now)
-	for _, c := range d.lister.RecentChanges(changeGossipPeriod, removalRetention, now, maxChangesPerMessage) {
+	d.rereadUnconfirmedList(now)
+	d.composeList(&m, now)
+	return m, busy
+}
+
+// composeList adds the latest changes of the endpoint list to a message, and the age of the list if these are all changes
+// of the last changeGossipPeriod. The caller must hold mu.
+func (d *Daemon) composeList(m *broadcaster.Message, now time.Duration) {
+	changes := d.lister.RecentChanges(changeGossipPeriod, removalRetention, now, maxChangesPerMessage)
+	for _, c := range changes {
 		entry := broadcaster.EndpointChange{Key: c.Key, Revision: c.Revision, Removed: c.Removed}
 		if !c.Removed {
 			endpoint := c.Endpoint
@@ -54,17 +63,15 @@
 		}
 		m.EndpointChanges = append(m.EndpointChanges, entry)
 	}
-	return m, busy
+	if d.listReadAt == 0 || now-d.listReadAt < changeGossipPeriod || len(changes) == maxChangesPerMessage {
+		return
+	}
+	age := (now - d.listConfirmedAt).Milliseconds()
+	m.ListAgeMs = &age
 }
 
-// Receive applies a message of a peer: its state to the controller and its changes to the endpoint list. It also checks
-// whether the peer has a newer configuration.
-func (d *Daemon) Receive(m broadcaster.Message) {
-	d.controller.Receive(m)
-	now := clock.SinceBoot()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.rereadOutdatedConfig(m.ConfigVersion, now)
+// receiveList applies the changes of the endpoint list in a message of a peer. The caller must hold mu.
+func (d *Daemon) receiveList(m broadcaster.Message, now time.Duration) {
 	var changed []lister.Entry
 	for _, c := range m.EndpointChanges {
 		entry := lister.Entry{Key: c.Key, Revision: c.Revision, Removed: c.Removed}
@@ -78,6 +85,21 @@
 		}
 	}
 	d.activateListChanges(changed, m.From)
+	if m.ListAgeMs != nil {
+		sentAt := now - m.TransitTime
+		d.listConfirmer.ConfirmFromPeer(sentAt, sentAt-time.Duration(*m.ListAgeMs)*time.Millisecond)
+	}
+}
+
+// Receive applies a message of a peer: its state to the controller and its changes to the endpoint list. It also checks
+// whether the peer has a newer configuration.
+func (d *Daemon) Receive(m broadcaster.Message) {
+	d.controller.Receive(m)
+	now := clock.SinceBoot()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rereadOutdatedConfig(m.ConfigVersion, now)
+	d.receiveList(m, now)
 }
 
 // rereadUnconfirmedConfig starts a new read of the configuration if neither the watch nor a peer has confirmed for a
@@ -94,6 +116,16 @@
 	d.configFollower.Refresh()
 }
 
+// rereadUnconfirmedList asks the store for changes of the endpoint list if neither a watch nor peers have confirmed for a
+// while that all of them are known. The caller must hold mu.
+func (d *Daemon) rereadUnconfirmedList(now time.Duration) {
+	if d.listReadAt == 0 || !d.listConfirmer.ReadDue(now) {
+		return
+	}
+	d.log.Info().Int64("age_ms", d.listConfirmer.Age(now).Milliseconds()).Msg("list: not confirmed, asking the store")
+	d.endpointFollower.Refresh()
+}
+
 // rereadOutdatedConfig starts a new read of the configuration if a peer has had a newer version for longer than
 // minOutdatedTime. version is the version that a peer reports. The caller must hold mu.
 func (d *Daemon) rereadOutdatedConfig(version uint64, now time.Duration) {
--- a/internal/process/daemon/options.go
+++ b/internal/process/daemon/options.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/confirmer"
 	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
 	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
@@ -42,6 +43,10 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
+func confirmerOptions() confirmer.Options {
+	return confirmer.Options{RepeatTime: changeGossipPeriod - maxTransitTime, MaxAge: maxListAge, ReadInterval: minListReadInterval}
+}
+
 func plannerOptions(domain string) planner.Options {
 	return planner.Options{
 		Domain: domain, PrefillRate: initialPrefillTokensPerSecond, FirstEventOverhead: 60 * time.Millisecond,
