Limits hold in a large fleet whose gateways restart during a partition

An account could be admitted 1,246,000 tokens and more where 1,245,000 are allowed (known red TestAccountExceedsLimitInLargeFleet).

Cause: a restarted gateway took the gateways that it hears for the whole fleet, and so both sides of a partition gave out the whole refill.

Change: gateways tell each other how many they are and for how long that may be used (an echo does not prolong it), so a restarted gateway learns the size from any running one. Where all have just started, those that do not hear all seeds of the settings leave a part of the refill to gateways that may exist: with none of three seeds they use 0.15 of the tolerance, with all the whole limit. A seed that is silent for 60 s counts as gone. The test now passes the names of three seeds, which the settings contain; its check, bound, seed and number of sequences are unchanged.

--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -131,6 +131,7 @@
 			Window: s.Bounds.LimitWindow, OverageRatio: s.Bounds.LimitOverageRatio, SlackTokens: s.Bounds.LimitSlackTokens,
 			PeerTimeout: time.Second, PeerTimeoutPerGateway: peerTimeoutPerGateway,
 			PeerExpiry: time.Minute, MinGateways: len(s.SeedAddrs),
+			Name: s.GossipAddr.String(), SeedGateways: seedNames(s),
 		},
 		RetryBudget: retrier.Options{
 			RetriesPerRequest: s.Bounds.RetriesPerRequest, ExtraRetries: s.Bounds.ExtraRetries, Window: s.Bounds.RetryWindow,
@@ -138,6 +139,15 @@
 	}
 }
 
+// seedNames returns the names under which the seeds of the settings report to this gateway.
+func seedNames(s platform.Settings) []string {
+	out := make([]string, 0, len(s.SeedAddrs))
+	for _, a := range s.SeedAddrs {
+		out = append(out, a.String())
+	}
+	return out
+}
+
 // edgeDependencies returns the clients of the store and of the endpoints, with a connection pool for each.
 func edgeDependencies(s platform.Settings) daemon.Dependencies {
 	pool := exchanger.New(exchanger.Options{DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdleTimeout},
--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -108,6 +108,10 @@
 	// AllAccounts is true if it holds all accounts for which tokens were admitted.
 	AdmittedTotals map[string]float64 `json:"total,omitempty"`
 	AllAccounts    bool               `json:"whole,omitempty"`
+	// FleetSize is the number of gateways that the sender knows, and FleetSizeMs the time in ms for which the receiver may
+	// use it. Both are zero if the sender has just started and does not know.
+	FleetSize   int   `json:"size,omitempty"`
+	FleetSizeMs int64 `json:"sizems,omitempty"`
 	// AvailableTokens holds the tokens that each account may still spend. Only peers that need them get them.
 	AvailableTokens map[string]float64 `json:"level,omitempty"`
 	CrashRecords    []CrashRecord      `json:"blame,omitempty"`
--- a/internal/limits/capper/capper.go
+++ b/internal/limits/capper/capper.go
@@ -2,6 +2,9 @@
 // Every gateway keeps a token bucket for the whole account: it charges its own admissions at once and those of its
 // peers when they report them as cumulative totals.
 //
+// Gateways tell each other how many they are. Where all have just started and nobody knows, those that do not hear all
+// seeds leave a part of the refill to gateways that may exist behind a network partition.
+//
 // A peer whose reports stop is assumed to use its equal share of the bucket and of the refill rate, so that the sides
 // of a network partition together stay within the limit. Until a peer has timed out, a gateway admits at most its equal
 // share of the bucket between two reports of that peer, because the peer may use its own share in the meantime. The
@@ -39,6 +42,10 @@
 	PeerExpiry time.Duration
 	// MinGateways is the smallest number of gateways that share the limits, whether or not they have reported.
 	MinGateways int
+	// Name is the name of this gateway. SeedGateways are the names of gateways that the settings list, possibly this one
+	// among them.
+	Name         string
+	SeedGateways []string
 }
 
 const (
@@ -104,11 +111,16 @@
 	// startTokensGranted is set once grantStartTokens has run after the startup delay, whether or not it granted any
 	// tokens.
 	startTokensGranted bool
+	// fleet is what is known of the number of gateways.
+	fleet fleet
 }
 
 // New returns a Capper without accounts; accounts that are not set are not limited.
 func New(o Options, now time.Duration) *Capper {
-	return &Capper{options: o, startedAt: now, accounts: map[string]*account{}, peers: map[string]*peer{}}
+	return &Capper{
+		options: o, startedAt: now, accounts: map[string]*account{}, peers: map[string]*peer{},
+		fleet: fleet{known: len(o.SeedGateways) == 0},
+	}
 }
 
 // SetLimits replaces the limits of all accounts. Accounts that are not listed are no longer limited. A new account
@@ -146,16 +158,10 @@
 
 // peerTimeout returns the time without a report after which a peer has timed out. It grows with the fleet because the
 // gateways of a large fleet report less often.
-func (c *Capper) peerTimeout() time.Duration {
-	return max(c.options.PeerTimeout, time.Duration(c.gatewayCount())*c.options.PeerTimeoutPerGateway)
+func (c *Capper) peerTimeout(now time.Duration) time.Duration {
+	return max(c.options.PeerTimeout, time.Duration(c.gatewayCount(now))*c.options.PeerTimeoutPerGateway)
 }
 
-// gatewayCount returns the number of gateways that share the limits, this one included.
-func (c *Capper) gatewayCount() int { return max(c.options.MinGateways, len(c.peers)+1) }
-
-// unknownGateways returns the number of gateways that share the limits but have not reported yet.
-func (c *Capper) unknownGateways() int { return c.gatewayCount() - len(c.peers) - 1 }
-
 // Admit charges a request's tokens to an account. If the account would exceed its limit, nothing is charged, ok is
 // false, and wait is the time after which the request may be admitted. A request larger than the bucket is never
 // admitted. Accounts without a limit are always admitted.
@@ -185,11 +191,11 @@
 // mayAdmitUnreported reports whether this gateway may admit a request of an account before its peers have reported again.
 // unreportedTokens is what it has admitted since their last reports.
 func (c *Capper) mayAdmitUnreported(a *account, tokens, unreportedTokens float64, now time.Duration) bool {
-	limit := max((a.availableTokens+unreportedTokens)/float64(c.gatewayCount()), minUnreportedRequests*tokens)
+	limit := max((a.availableTokens+unreportedTokens)/float64(c.gatewayCount(now)), minUnreportedRequests*tokens)
 	if unreportedTokens+tokens <= limit {
 		return true
 	}
-	return c.gatewayCount() >= minLargeFleet &&
+	return c.gatewayCount(now) >= minLargeFleet &&
 		unreportedTokens+tokens <= unreportedToleranceRatio*c.toleranceTokens(a.limit)*c.trafficShare(a, now)
 }
 
@@ -219,7 +225,7 @@
 	}
 	sum, expired := 0.0, 0
 	for i, entry := range a.recentAdmissions {
-		if now-entry.admittedAt > c.peerTimeout() {
+		if now-entry.admittedAt > c.peerTimeout(now) {
 			expired = i + 1
 			continue
 		}
@@ -298,24 +304,26 @@
 	if c.adopted {
 		return
 	}
-	knownRatio := float64(len(c.peers)+1) / float64(c.gatewayCount())
+	knownRatio := float64(len(c.peers)+1) / float64(c.gatewayCount(now))
 	for _, a := range c.accounts {
-		a.availableTokens += startToleranceRatio * knownRatio * c.toleranceTokens(a.limit)
+		usableRatio := min(knownRatio, 1-c.hiddenRatio(a.limit))
+		a.availableTokens += startToleranceRatio * usableRatio * c.toleranceTokens(a.limit)
 	}
 }
 
 // advance refills all buckets up to now, removes expired peers, and charges the shares of gateways that have timed out
 // or never reported.
 func (c *Capper) advance(now time.Duration) {
+	c.updateFleet(now)
 	c.grantStartTokens(now)
-	missingGateways := c.unknownGateways()
+	missingGateways := c.unknownGateways(now)
 	for name, p := range c.peers {
 		switch age := now - p.lastReportAt; {
 		case age > c.options.PeerExpiry:
 			delete(c.peers, name)
-		case age > c.peerTimeout():
+		case age > c.peerTimeout(now):
 			missingGateways++
-			c.chargeTimedOutPeer(p)
+			c.chargeTimedOutPeer(p, now)
 		}
 	}
 	for _, a := range c.accounts {
@@ -323,21 +331,21 @@
 	}
 }
 
-// refill adds the tokens that have accrued since the latest refill, less the equal shares of the missing gateways:
-// those that have timed out and those that never reported. Nothing accrues during the startup delay.
+// refill adds the tokens that have accrued since the latest refill, less the equal shares of the missing gateways, which
+// have timed out or never reported, or less what gateways of which nothing is known may use, if that is more. Nothing
+// accrues during the startup delay.
 func (c *Capper) refill(a *account, missingGateways int, now time.Duration) {
 	if now <= a.refilledAt {
 		return
 	}
 	refillTokens := a.limit.TokensPerSecond * max(0, now-max(a.refilledAt, c.startedAt+startupDelay)).Seconds()
 	a.refilledAt = now
-	tokensPerGateway := refillTokens / float64(c.gatewayCount())
+	tokensPerGateway := refillTokens / float64(c.gatewayCount(now))
 	for _, p := range c.peers {
 		if p.timedOut {
 			p.assumedTokens[a.limit.Account] += tokensPerGateway
 		}
 	}
-	a.availableTokens = min(
-		c.bucketTokens(a.limit), a.availableTokens+refillTokens-tokensPerGateway*float64(missingGateways),
-	)
+	missingTokens := max(tokensPerGateway*float64(missingGateways), refillTokens*c.hiddenRatio(a.limit))
+	a.availableTokens = min(c.bucketTokens(a.limit), a.availableTokens+refillTokens-missingTokens)
 }
--- a/internal/limits/capper/capper_test.go
+++ b/internal/limits/capper/capper_test.go
@@ -24,6 +24,9 @@
 // seedGateways is the largest number of gateways that the settings of a process list, the process itself included.
 const seedGateways = 4
 
+// settingsSeeds is the number of other gateways, or of this and others, that the settings of a process name.
+const settingsSeeds = 3
+
 var options = capper.Options{
 	Window: window, OverageRatio: 0.25, SlackTokens: 120000, PeerTimeout: time.Second, PeerExpiry: time.Minute,
 }
@@ -64,6 +67,8 @@
 		f.cappers = append(f.cappers, nil)
 		f.incarnations = append(f.incarnations, 0)
 		f.names = append(f.names, string(rune('a'+i)))
+	}
+	for i := range n {
 		f.start(i)
 	}
 	return f
@@ -73,6 +78,7 @@
 func (f *fleet) start(i int) {
 	o := options
 	o.MinGateways = min(seedGateways, len(f.partitions))
+	o.Name, o.SeedGateways = f.names[i], f.names[:min(settingsSeeds, len(f.names))]
 	f.cappers[i] = capper.New(o, f.now)
 	f.cappers[i].SetLimits([]capper.AccountLimit{
 		{Account: "acc", TokensPerSecond: f.tokensPerSecond, BurstTokens: f.tokensPerSecond},
@@ -89,10 +95,12 @@
 			maxAge = f.now
 		}
 		totals, available := from.AdmittedTotals(maxAge, f.now), from.AvailableTokens(f.now)
+		size, validFor := from.FleetSize(f.now)
 		for j, to := range f.cappers {
 			if i == j || f.partitions[i] != f.partitions[j] {
 				continue
 			}
+			to.ReceiveFleetSize(size, validFor, f.now)
 			to.ReceiveTotals(f.names[i], f.incarnations[i], totals, allAccounts, f.now)
 			if !from.NeedsAvailableTokens(f.now) {
 				to.AdoptAvailableTokens(available, f.now)
--- a/internal/limits/capper/peer.go
+++ b/internal/limits/capper/peer.go
@@ -42,7 +42,7 @@
 	}
 	if p.incarnation != incarnation {
 		p.incarnation, p.reportedTotals = incarnation, map[string]float64{}
-		c.chargeRestartedPeer(p)
+		c.chargeRestartedPeer(p, now)
 	}
 	for name, a := range c.accounts {
 		delta := 0.0
@@ -73,10 +73,10 @@
 // chargeRestartedPeer charges the equal share of the available tokens for a peer whose previous process has ended: what
 // that process admitted after its last report will never be reported. A peer that had timed out was charged already,
 // and that charge becomes final.
-func (c *Capper) chargeRestartedPeer(p *peer) {
+func (c *Capper) chargeRestartedPeer(p *peer, now time.Duration) {
 	if !p.timedOut {
 		for _, a := range c.accounts {
-			a.availableTokens -= max(0, a.availableTokens) / float64(c.gatewayCount())
+			a.availableTokens -= max(0, a.availableTokens) / float64(c.gatewayCount(now))
 		}
 	}
 	clear(p.assumedTokens)
@@ -84,13 +84,13 @@
 
 // chargeTimedOutPeer charges the equal share of each bucket, and of the refill during the peer timeout, for a peer that
 // has just timed out.
-func (c *Capper) chargeTimedOutPeer(p *peer) {
+func (c *Capper) chargeTimedOutPeer(p *peer, now time.Duration) {
 	if p.timedOut {
 		return
 	}
 	p.timedOut = true
 	for name, a := range c.accounts {
-		share := (c.bucketTokens(a.limit) + a.limit.TokensPerSecond*c.peerTimeout().Seconds()) / float64(c.gatewayCount())
+		share := (c.bucketTokens(a.limit) + a.limit.TokensPerSecond*c.peerTimeout(now).Seconds()) / float64(c.gatewayCount(now))
 		a.availableTokens -= share
 		p.assumedTokens[name] += share
 	}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -38,6 +38,8 @@
 	}
 	c.composedMessages++
 	m.AdmittedTotals = c.capper.AdmittedTotals(maxAge, now)
+	size, validFor := c.capper.FleetSize(now)
+	m.FleetSize, m.FleetSizeMs = size, validFor.Milliseconds()
 	m.NeedsAvailableTokens = c.capper.NeedsAvailableTokens(now)
 	if includeAvailableTokens && !m.NeedsAvailableTokens {
 		m.AvailableTokens = c.capper.AvailableTokens(now)
@@ -101,6 +103,7 @@
 		c.peers[m.From] = true
 		c.setGateways(len(c.peers) + 1)
 	}
+	c.capper.ReceiveFleetSize(m.FleetSize, time.Duration(m.FleetSizeMs)*time.Millisecond-m.TransitTime, now)
 	c.capper.ReceiveTotals(m.From, m.Incarnation, m.AdmittedTotals, m.AllAccounts, now)
 	c.capper.AdoptAvailableTokens(m.AvailableTokens, now)
 	c.receiveStages(m, now)
