An endpoint holds a slot for a gateway that was refused one and has few

The gateway whose stream ends learns first that its slot is free and takes it again, so the slots of a gateway are a random walk: once it has few, it stays so.

Change: `reserver` holds a free slot for up to 250 ms for an owner that was refused one and has at least two fewer than the owner that asks.

--- a/cmd/pistachiovane/cmds/load.go
+++ b/cmd/pistachiovane/cmds/load.go
@@ -20,7 +20,7 @@
 	JSON               bool          `arg:"--json" help:"print only one JSON object on standard output"`
 	Load               float64       `arg:"--load" default:"0.9" help:"offered load as a share of the fleet's capacity"`
 	Duration           time.Duration `arg:"--for" default:"300s" help:"how long requests arrive, in virtual time"`
-	Policies           string        `arg:"--policies" default:"probe" help:"policies to run with the same seed: probe, leastloaded, roundrobin, random, late, split, fifo, naive"`
+	Policies           string        `arg:"--policies" default:"probe" help:"policies to run with the same seed: probe, leastloaded, roundrobin, random, late, split, fifo, firstcome, naive"`
 	FaultSchedule      string        `arg:"--faults" default:"none" help:"none, daily or storm"`
 	CancelRatio        float64       `arg:"--cancels" default:"0" help:"share of callers who go early"`
 	PinAccounts        bool          `arg:"--skew" help:"send all requests of an account to one gateway"`
--- a/load/runner/agent.go
+++ b/load/runner/agent.go
@@ -47,10 +47,20 @@
 	s := r.options.Fleet.Engine
 	return &agent{
 		runner: r, endpoint: e, engine: model.New(s),
-		reserver: reserver.New(s.DecodeSlots, s.MemoryPieces, reservationTimeout), attempts: make(map[string]*attempt),
+		reserver: newReserver(r), attempts: make(map[string]*attempt),
 	}
 }
 
+// newReserver returns the reserver of an endpoint without reservations.
+func newReserver(r *Runner) *reserver.Reserver {
+	s := r.options.Fleet.Engine
+	out := reserver.New(s.DecodeSlots, s.MemoryPieces, reservationTimeout)
+	if r.policy.firstCome {
+		out.ServeFirstCome()
+	}
+	return out
+}
+
 // load returns the reserver's load together with the prefill backlog.
 func (n *agent) load() *endpoint.Load {
 	load := n.reserver.Load()
@@ -225,8 +235,7 @@
 	n.backlogTokens = 0
 	lostAttempts := n.attempts
 	n.attempts = make(map[string]*attempt)
-	s := n.runner.options.Fleet.Engine
-	n.reserver = reserver.New(s.DecodeSlots, s.MemoryPieces, reservationTimeout)
+	n.reserver = newReserver(n.runner)
 	for _, a := range sortedAttempts(lostAttempts) {
 		n.sendEvent(a, dispatcher.EndpointCrashed)
 	}
--- a/load/runner/runner.go
+++ b/load/runner/runner.go
@@ -40,7 +40,8 @@
 	// Policy is one of the router's policies "probe", "leastloaded", "roundrobin" and "random", or a variant that
 	// switches one mechanism off: "late" (probe, but the decode slot is reserved after prefill), "split" (probe,
 	// but a gateway charges only its own share of a limit), "fifo" (probe, but without fairness between client
-	// accounts) and "naive" (random, and the decode slot is reserved after prefill).
+	// accounts), "firstcome" (probe, but endpoints hold no slots for gateways that have few) and "naive" (random, and the
+	// decode slot is reserved after prefill).
 	Policy string
 	Seed   uint64
 	// Load is the offered load as a fraction of the fleet's capacity, before NoisyAccountFactor.
@@ -66,6 +67,8 @@
 	ownShareOnly bool
 	// fifo queues the requests of all client accounts as if one account had sent them.
 	fifo bool
+	// firstCome gives a free slot of an endpoint to the first gateway that asks, however many it has.
+	firstCome bool
 }
 
 // request is one request of the workload and its progress.
@@ -140,9 +143,10 @@
 func parsePolicy(name string) (policy, error) {
 	p := policy{
 		reserveAfterPrefill: name == "late" || name == "naive", ownShareOnly: name == "split", fifo: name == "fifo",
+		firstCome: name == "firstcome",
 	}
 	switch name {
-	case "late", "split", "fifo":
+	case "late", "split", "fifo", "firstcome":
 		name = "probe"
 	case "naive":
 		name = "random"
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -40,28 +40,84 @@
 	// draining is set when further reservations are rejected.
 	draining     bool
 	reservations map[Key]reservation
+	// firstComeFirstServed is set if no slots are held for owners that were refused one.
+	firstComeFirstServed bool
+	// refusedAt holds, by owner, the time of the latest reservation that was refused for lack of capacity, if none was
+	// granted since.
+	refusedAt map[string]time.Duration
 }
 
+const (
+	// ownerHoldTime is how long a slot is held for an owner that was refused one. Owners try again every 100 ms.
+	ownerHoldTime = 250 * time.Millisecond
+	// minSlotLead is how many slots more than that owner another one has at least if it must leave the slot to it.
+	minSlotLead = 2
+)
+
 // New returns a reserver for an endpoint with the given number of slots and of pieces of KV cache memory. A reservation
 // that is not started within startTimeout expires.
 func New(slots, pieces int, startTimeout time.Duration) *Reserver {
-	return &Reserver{slots: slots, freePieces: pieces, startTimeout: startTimeout, reservations: make(map[Key]reservation)}
+	return &Reserver{
+		slots: slots, freePieces: pieces, startTimeout: startTimeout, reservations: make(map[Key]reservation),
+		refusedAt: make(map[string]time.Duration),
+	}
+}
+
+// ServeFirstCome makes Reserve hold no slots for owners that were refused one. It exists as a baseline for comparisons.
+func (r *Reserver) ServeFirstCome() {
+	r.firstComeFirstServed = true
 }
 
 // Reserve reserves a slot and the given number of pieces for an attempt. It returns false if no slot is free, too few
-// pieces are free or the endpoint is draining. Repeating a reservation has no effect and returns true.
+// pieces are free, the endpoint is draining, or the free slots are held for other owners. Repeating a reservation has no
+// effect and returns true.
 func (r *Reserver) Reserve(k Key, pieces int, now time.Duration) bool {
 	if _, ok := r.reservations[k]; ok {
 		return true
 	}
 	if r.draining || len(r.reservations) >= r.slots || r.freePieces < pieces {
+		r.refusedAt[k.Owner] = now
+		return false
+	}
+	if r.slots-len(r.reservations) <= r.heldSlots(k.Owner, now) {
 		return false
 	}
+	delete(r.refusedAt, k.Owner)
 	r.freePieces -= pieces
 	r.reservations[k] = reservation{pieces: pieces, expiresAt: now + r.startTimeout}
 	return true
 }
 
+// heldSlots returns the number of slots that are held for other owners which were refused one lately and have fewer than
+// this owner. Without this, the owner whose request ends learns first that a slot is free and takes it again: once an owner
+// has few slots, it stays so, and its requests wait while those of others are served.
+func (r *Reserver) heldSlots(owner string, now time.Duration) int {
+	if r.firstComeFirstServed {
+		return 0
+	}
+	held := 0
+	for other, at := range r.refusedAt {
+		switch {
+		case now-at > ownerHoldTime:
+			delete(r.refusedAt, other)
+		case other != owner && r.usedSlots(other)+minSlotLead <= r.usedSlots(owner):
+			held++
+		}
+	}
+	return held
+}
+
+// usedSlots returns the number of slots that an owner has.
+func (r *Reserver) usedSlots(owner string) int {
+	used := 0
+	for k := range r.reservations {
+		if k.Owner == owner {
+			used++
+		}
+	}
+	return used
+}
+
 // Start marks an attempt as started, so that its reservation does not expire any more. It returns false if there is no
 // reservation or it has expired.
 func (r *Reserver) Start(k Key, now time.Duration) bool {
@@ -94,6 +150,7 @@
 // ReleaseOwner releases all reservations of an owner, which has disconnected, and returns their keys, ordered by
 // request.
 func (r *Reserver) ReleaseOwner(owner string) []Key {
+	delete(r.refusedAt, owner)
 	return r.releaseWhere(func(k Key, _ reservation) bool { return k.Owner == owner })
 }
 
--- a/pkg/reserver/reserver_test.go
+++ b/pkg/reserver/reserver_test.go
@@ -59,3 +59,36 @@
 		t.Error("started a reservation after it had expired")
 	}
 }
+
+// The gateway whose request ends knows first that a slot is free. If it got the slot each time, a gateway with few slots
+// would keep few, and its callers would wait while those of others are served.
+func TestOwnerWithFewSlotsStaysRefused(t *testing.T) {
+	const slots = 4
+	r := New(slots, slots, time.Minute)
+	for i := range uint64(slots) {
+		r.Reserve(Key{Owner: "near", Request: i}, 1, 0)
+	}
+	if r.Reserve(Key{Owner: "far", Request: 0}, 1, time.Millisecond) {
+		t.Fatal("got a fifth reservation of four slots, want a refusal")
+	}
+	r.Release(Key{Owner: "near", Request: 0})
+	if r.Reserve(Key{Owner: "near", Request: 9}, 1, 2*time.Millisecond) {
+		t.Error("got the free slot reserved by the owner of three, want it held for the one without")
+	}
+	if !r.Reserve(Key{Owner: "far", Request: 0}, 1, 100*time.Millisecond) {
+		t.Error("got the held slot refused to the owner that it is held for, want it reserved")
+	}
+}
+
+// An owner that does not come back must not keep a slot idle.
+func TestHeldSlotStaysIdle(t *testing.T) {
+	r := New(2, 2, time.Minute)
+	r.Reserve(Key{Owner: "near", Request: 0}, 1, 0)
+	r.Reserve(Key{Owner: "near", Request: 1}, 1, 0)
+	r.Reserve(Key{Owner: "far", Request: 0}, 1, 0)
+	r.Release(Key{Owner: "near", Request: 0})
+	r.Reserve(Key{Owner: "near", Request: 2}, 1, 0)
+	if !r.Reserve(Key{Owner: "near", Request: 2}, 1, ownerHoldTime+time.Millisecond) {
+		t.Error("got a slot held longer than ownerHoldTime, want it reserved")
+	}
+}
