Messages of peers with impossible times and numbers are dropped

A message with a negative age of the configuration confirmed it for the future: a withdrawn key would have worked for longer. Such a message is now logged and dropped like one that can't be decoded.

Evidence: TestImpossibleValuesAreAccepted; without the check all six cases are accepted. FuzzDecode for 20 s.

--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -145,8 +146,29 @@
 	return b, errors.Wrap(err, "encode state notification")
 }
 
-// decode parses a JSON-RPC notification. It fails if the method is not stateMethod or if the message lacks a sender
-// address or an incarnation.
+// maxFleetSize is the largest number of gateways that a message may report.
+const maxFleetSize = 100000
+
+// check fails if the message lacks a sender address or an incarnation, or if a time or a number in it is impossible. A
+// negative age would make what the message confirms hold for longer than it does.
+func (m Message) check() error {
+	switch {
+	case m.From == "" || m.Incarnation == 0:
+		return errors.New("state message without sender address or incarnation")
+	case m.SentAtMs < 0 || m.SentAtMs > math.MaxInt64/int64(time.Millisecond):
+		return errors.Errorf("state message of %s was sent at %d ms", m.From, m.SentAtMs)
+	case m.ConfigAgeMs < 0:
+		return errors.Errorf("state message of %s has a configuration of age %d ms", m.From, m.ConfigAgeMs)
+	case m.ListAgeMs != nil && *m.ListAgeMs < 0:
+		return errors.Errorf("state message of %s has an endpoint list of age %d ms", m.From, *m.ListAgeMs)
+	case m.FleetSize < 0 || m.FleetSize > maxFleetSize:
+		return errors.Errorf("state message of %s has %d gateways", m.From, m.FleetSize)
+	default:
+		return nil
+	}
+}
+
+// decode parses a JSON-RPC notification. It fails if the method is not stateMethod or if the message fails its check.
 func decode(b []byte) (Message, error) {
 	var r jsonrpc2.Request
 	if err := json.Unmarshal(b, &r); err != nil {
@@ -159,8 +181,8 @@
 	if err := json.Unmarshal(*r.Params, &m); err != nil {
 		return Message{}, errors.Wrap(err, "decode state message")
 	}
-	if m.From == "" || m.Incarnation == 0 {
-		return Message{}, errors.New("state message without sender address or incarnation")
+	if err := m.check(); err != nil {
+		return Message{}, err
 	}
 	return m, nil
 }
--- a/internal/fleet/broadcaster/message_test.go
+++ b/internal/fleet/broadcaster/message_test.go
@@ -29,6 +29,19 @@
 	}
 }
 
+// A message with impossible values must not be applied: a negative age would let a withdrawn key work for longer, and a fleet
+// of a billion gateways would leave no tokens to this one.
+func TestImpossibleValuesAreAccepted(t *testing.T) {
+	for _, fields := range []string{
+		`"age":-60000`, `"listage":-1`, `"size":1000000000`, `"size":-1`, `"sent":-5`, `"sent":9223372036854775807`,
+	} {
+		b := []byte(`{"jsonrpc":"2.0","method":"state","params":{"from":"10.0.0.1:1","inc":1,` + fields + `}}`)
+		if _, err := decode(b); err == nil {
+			t.Errorf("got a message with %s accepted, want an error", fields)
+		}
+	}
+}
+
 // Datagrams can come from anywhere. A message without a sender must not be accepted, since it would be recorded as a
 // peer.
 func FuzzDecode(f *testing.F) {
