--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -27,8 +27,6 @@
 	maxRetryDelay = 600 * time.Millisecond
 	// paceCheckInterval is how often the pace is asked for during an interval.
 	paceCheckInterval = 250 * time.Millisecond
-	// maxLoggedKeys bounds the keys in one log line.
-	maxLoggedKeys = 8
 )
 
 // Item is one entry of the store, as of the revision that wrote or removed it.
@@ -148,16 +146,6 @@
 	}
 }
 
-// untilNextCall returns d, or the time until the removal of expired entries must be decided if that is earlier.
-func (f *Follower) untilNextCall(d time.Duration) time.Duration {
-	at, ok := f.removals.NextCall()
-	if !ok {
-		return d
-	}
-	// Waits are sent in whole ms, rounded down.
-	return max(0, min(d, at-f.clock()+time.Millisecond))
-}
-
 // pause waits for d, or until the context ends. A value from refresh ends it too; the next watch does not wait then.
 // It returns whether it waited for d.
 func (f *Follower) pause(ctx context.Context, d time.Duration, refresh <-chan struct{}) bool {
@@ -178,37 +166,6 @@
 	}
 }
 
-// await runs a call to the store and returns its answer. A value from refresh interrupts the call; its error is
-// errRefreshRequested then, and the next watch does not wait.
-func (f *Follower) await(ctx context.Context, do func(ctx context.Context) answer, refresh <-chan struct{}) answer {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	c := call{do: do, answer: make(chan answer, 1)}
-	go c.run(ctx)
-	for {
-		select {
-		case a := <-c.answer:
-			return a
-		case <-refresh:
-			cancel()
-			<-c.answer
-			f.refreshing = true
-			return answer{err: errRefreshRequested}
-		case <-f.removalsDue():
-			f.applyDueRemovals()
-		}
-	}
-}
-
-// removalsDue returns a channel that receives a value when the next deferred removal is due. It is nil if there is none.
-func (f *Follower) removalsDue() <-chan time.Time {
-	at, ok := f.removals.NextDue()
-	if !ok {
-		return nil
-	}
-	return time.After(at - f.clock())
-}
-
 // step makes one call to the store: a read if the copy is not synced, a watch otherwise. changes is true after a read,
 // and after a watch that returned items.
 func (f *Follower) step(ctx context.Context) (changes bool, err error) {
@@ -340,20 +297,6 @@
 	f.update(changed, currentAt, false)
 }
 
-// applyDueRemovals removes the entries whose removal was deferred and is due.
-func (f *Follower) applyDueRemovals() {
-	keys, deferredFor := f.removals.TakeDue(f.clock())
-	if len(keys) == 0 {
-		return
-	}
-	for _, key := range keys {
-		delete(f.items, key)
-	}
-	f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(keys)).Strs("keys", keys[:min(maxLoggedKeys, len(keys))]).
-		Int64("deferred_ms", deferredFor.Milliseconds()).Msg("store: deferred removals applied")
-	f.update(keys, f.currentAt, false)
-}
-
 // update reports the copy after a change.
 func (f *Follower) update(changed []string, currentAt time.Duration, fullRead bool) {
 	f.currentAt = currentAt
@@ -361,32 +304,3 @@
 		Items: f.items, ChangedKeys: changed, CurrentAt: currentAt, Revision: f.revision, FullRead: fullRead,
 	})
 }
-
-// logDeferredRemovals logs the entries whose removal was just deferred, in one line for all of them.
-func (f *Follower) logDeferredRemovals(keys []string) {
-	if len(keys) == 0 {
-		return
-	}
-	f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(keys)).Strs("keys", keys[:min(maxLoggedKeys, len(keys))]).
-		Uint64("revision", f.revision).Int64("grace_left_ms", (f.removals.GraceEndsAt() - f.clock()).Milliseconds()).
-		Msg("store: removals deferred")
-}
-
-// answer is the result of a call to the store.
-type answer struct {
-	items    []Item
-	revision uint64
-	err      error
-}
-
-// call is a call to the store in a goroutine of its own, so that deferred removals are applied in time while it lasts.
-type call struct {
-	do func(ctx context.Context) answer
-	// answer receives the result. It is buffered.
-	answer chan answer
-}
-
-// run makes the call and sends its answer.
-func (c call) run(ctx context.Context) {
-	c.answer <- c.do(ctx)
-}
--- a/internal/limits/capper/fleet.go
+++ b/internal/limits/capper/fleet.go
@@ -51,6 +51,9 @@
 // updateFleet records that the fleet is known once all seeds have been heard. A seed that stays silent for PeerExpiry
 // counts as gone, like a peer.
 func (c *Capper) updateFleet(now time.Duration) {
+	if c.fleet.known {
+		return
+	}
 	if c.heardSeeds() == len(c.options.SeedGateways) || now-c.startedAt > c.options.PeerExpiry {
 		c.fleet.known = true
 	}
