--- a/internal/limits/capper/capper_test.go
+++ b/internal/limits/capper/capper_test.go
@@ -136,8 +136,9 @@
 // account requests up to four times (large) or seven times (small) its rate, on average and over all gateways, while
 // gateways are partitioned, killed and restarted at random.
 func TestAccountExceedsLimitDuringPartitionsAndRestarts(t *testing.T) {
-	t.Run("large", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6, 2, seedGateways, "3000") })
-	t.Run("small", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3, 2, seedGateways, "3000") })
+	setRapidFlags(t, "3000")
+	t.Run("large", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6, 2, seedGateways) })
+	t.Run("small", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3, 2, seedGateways) })
 }
 
 // The same with fleets that are larger than the settings of a process tell. A restarted gateway then assumes too few
@@ -146,21 +147,31 @@
 	if skipper.New(t, "../../../KNOWN-RED.txt").Lists(t) {
 		t.Skip("listed in KNOWN-RED.txt")
 	}
-	t.Run("large", func(t *testing.T) { checkWindowBound(t, largeTokensPerSecond, 6, 10, 25, "400") })
-	t.Run("small", func(t *testing.T) { checkWindowBound(t, smallTokensPerSecond, 3, 10, 25, "400") })
+	setRapidFlags(t, "400")
+	t.Run("large", func(t *testing.T) {
+		t.Parallel()
+		checkWindowBound(t, largeTokensPerSecond, 6, 10, 25)
+	})
+	t.Run("small", func(t *testing.T) {
+		t.Parallel()
+		checkWindowBound(t, smallTokensPerSecond, 3, 10, 25)
+	})
 }
 
-// checkWindowBound runs the given number of random sequences of faults and requests on fleets of minGateways to
-// maxGateways gateways, with at most maxRequestsPerStep requests in each step of 100 ms, and checks the worst window.
-func checkWindowBound(
-	t *testing.T, tokensPerSecond float64, maxRequestsPerStep, minGateways, maxGateways int, checks string,
-) {
+// setRapidFlags sets the seed and the number of random sequences of the checks that follow.
+func setRapidFlags(t *testing.T, checks string) {
 	t.Helper()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			t.Fatal(err)
 		}
 	}
+}
+
+// checkWindowBound runs random sequences of faults and requests on fleets of minGateways to maxGateways gateways, with at
+// most maxRequestsPerStep requests in each step of 100 ms, and checks the worst window.
+func checkWindowBound(t *testing.T, tokensPerSecond float64, maxRequestsPerStep, minGateways, maxGateways int) {
+	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(minGateways, maxGateways).Draw(t, "gateways")
 		f := newFleet(n, tokensPerSecond)
--- a/pkg/reserver/reserver.go
+++ b/pkg/reserver/reserver.go
@@ -40,6 +40,8 @@
 	// draining is set when further reservations are rejected.
 	draining     bool
 	reservations map[Key]reservation
+	// usedSlots holds the number of reservations of each owner that has any.
+	usedSlots map[string]int
 	// firstComeFirstServed is set if no slots are held for owners that were refused one.
 	firstComeFirstServed bool
 	// refusedAt holds, by owner, the time of the latest reservation that was refused for lack of capacity, if none was
@@ -59,7 +61,7 @@
 func New(slots, pieces int, startTimeout time.Duration) *Reserver {
 	return &Reserver{
 		slots: slots, freePieces: pieces, startTimeout: startTimeout, reservations: make(map[Key]reservation),
-		refusedAt: make(map[string]time.Duration),
+		usedSlots: make(map[string]int), refusedAt: make(map[string]time.Duration),
 	}
 }
 
@@ -84,6 +86,7 @@
 	}
 	delete(r.refusedAt, k.Owner)
 	r.freePieces -= pieces
+	r.usedSlots[k.Owner]++
 	r.reservations[k] = reservation{pieces: pieces, expiresAt: now + r.startTimeout}
 	return true
 }
@@ -100,24 +103,13 @@
 		switch {
 		case now-at > ownerHoldTime:
 			delete(r.refusedAt, other)
-		case other != owner && r.usedSlots(other)+minSlotLead <= r.usedSlots(owner):
+		case other != owner && r.usedSlots[other]+minSlotLead <= r.usedSlots[owner]:
 			held++
 		}
 	}
 	return held
 }
 
-// usedSlots returns the number of slots that an owner has.
-func (r *Reserver) usedSlots(owner string) int {
-	used := 0
-	for k := range r.reservations {
-		if k.Owner == owner {
-			used++
-		}
-	}
-	return used
-}
-
 // Start marks an attempt as started, so that its reservation does not expire any more. It returns false if there is no
 // reservation or it has expired.
 func (r *Reserver) Start(k Key, now time.Duration) bool {
@@ -137,6 +129,10 @@
 		return false
 	}
 	r.freePieces += res.pieces
+	r.usedSlots[k.Owner]--
+	if r.usedSlots[k.Owner] == 0 {
+		delete(r.usedSlots, k.Owner)
+	}
 	delete(r.reservations, k)
 	return true
 }
