--- a/internal/fleet/broadcaster/broadcaster.go
+++ b/internal/fleet/broadcaster/broadcaster.go
@@ -305,8 +305,8 @@
 }
 
 // recordSender records the sender of a message as a peer, sets the transit time of the message, and adds the peers that it
-// names. It returns false if the message must be ignored: it is not newer than the latest one of that sender, its sender address is invalid, or
-// it comes from this gateway.
+// names. It returns false if the message must be ignored: it is not newer than the latest one of that sender, its sender
+// address is invalid, or it comes from this gateway.
 func (b *Broadcaster) recordSender(m *Message) bool {
 	address, err := netip.ParseAddrPort(m.From)
 	if err != nil || m.From == b.self {
--- a/internal/fleet/follower/removals.go
+++ b/internal/fleet/follower/removals.go
@@ -1,6 +1,10 @@
 package follower
 
-import "time"
+import (
+	"time"
+
+	"github.com/phuslu/log"
+)
 
 // maxLoggedKeys bounds the keys in one log line.
 const maxLoggedKeys = 8
@@ -33,8 +37,7 @@
 	for _, key := range keys {
 		delete(f.items, key)
 	}
-	f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(keys)).Strs("keys", keys[:min(maxLoggedKeys, len(keys))]).
-		Int64("deferred_ms", deferredFor.Milliseconds()).Msg("store: deferred removals applied")
+	f.removalEvent(keys).Int64("deferred_ms", deferredFor.Milliseconds()).Msg("store: deferred removals applied")
 	f.update(keys, f.currentAt, false)
 }
 
@@ -43,7 +46,13 @@
 	if len(keys) == 0 {
 		return
 	}
-	f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(keys)).Strs("keys", keys[:min(maxLoggedKeys, len(keys))]).
-		Uint64("revision", f.revision).Int64("grace_left_ms", (f.removals.GraceEndsAt() - f.clock()).Milliseconds()).
+	graceLeft := f.removals.GraceEndsAt() - f.clock()
+	f.removalEvent(keys).Uint64("revision", f.revision).Int64("grace_left_ms", graceLeft.Milliseconds()).
 		Msg("store: removals deferred")
 }
+
+// removalEvent returns a log line about removed entries, with the first maxLoggedKeys of their keys.
+func (f *Follower) removalEvent(keys []string) *log.Entry {
+	logged := keys[:min(maxLoggedKeys, len(keys))]
+	return f.log.Info().Str("prefix", f.options.Prefix).Int("entries", len(keys)).Strs("keys", logged)
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -62,8 +62,8 @@
 	minConfigWait        = 1800 * time.Millisecond
 	maxConfigWait        = 25 * time.Second
 	// listReaders is how many gateways pause only listReaderPause between two reads of the endpoint list, and wait up to
-	// listReaderWait for changes, less if that would look like an outage. The others pause listNonReaderPause, wait up to listNonReaderWait and receive changes
-	// from the readers meanwhile.
+	// listReaderWait for changes, less if that would look like an outage. The others pause listNonReaderPause, wait up to
+	// listNonReaderWait and receive changes from the readers meanwhile.
 	listReaders        = 4
 	listReaderWait     = 1500 * time.Millisecond
 	listReaderPause    = 500 * time.Millisecond
