Messages of peers with an impossible validity of the fleet size are dropped

A corrupted validity would have kept a wrong number of gateways in use for any time. The sender no longer sends a negative one where its own number comes from the settings alone; receivers treated that as expired already. TestImpossibleValuesAreAccepted has two more cases, which were accepted before.

--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -146,8 +146,12 @@
 	return b, errors.Wrap(err, "encode state notification")
 }
 
-// maxFleetSize is the largest number of gateways that a message may report.
-const maxFleetSize = 100000
+const (
+	// maxFleetSize is the largest number of gateways that a message may report.
+	maxFleetSize = 100000
+	// maxFleetSizeTime is the longest time for which that number may be used.
+	maxFleetSizeTime = 10 * time.Minute
+)
 
 // check fails if the message lacks a sender address or an incarnation, or if a time or a number in it is impossible. A
 // negative age would make what the message confirms hold for longer than it does.
@@ -163,6 +167,8 @@
 		return errors.Errorf("state message of %s has an endpoint list of age %d ms", m.From, *m.ListAgeMs)
 	case m.FleetSize < 0 || m.FleetSize > maxFleetSize:
 		return errors.Errorf("state message of %s has %d gateways", m.From, m.FleetSize)
+	case m.FleetSizeMs < 0 || m.FleetSizeMs > maxFleetSizeTime.Milliseconds():
+		return errors.Errorf("state message of %s has a number of gateways for %d ms", m.From, m.FleetSizeMs)
 	default:
 		return nil
 	}
--- a/internal/fleet/broadcaster/message_test.go
+++ b/internal/fleet/broadcaster/message_test.go
@@ -33,7 +33,7 @@
 // of a billion gateways would leave no tokens to this one.
 func TestImpossibleValuesAreAccepted(t *testing.T) {
 	for _, fields := range []string{
-		`"age":-60000`, `"listage":-1`, `"size":1000000000`, `"size":-1`, `"sent":-5`, `"sent":9223372036854775807`,
+		`"age":-60000`, `"listage":-1`, `"size":1000000000`, `"size":-1`, `"sizems":-1`, `"sizems":9000000000000000000`, `"sent":-5`, `"sent":9223372036854775807`,
 	} {
 		b := []byte(`{"jsonrpc":"2.0","method":"state","params":{"from":"10.0.0.1:1","inc":1,` + fields + `}}`)
 		if _, err := decode(b); err == nil {
--- a/internal/limits/capper/fleet.go
+++ b/internal/limits/capper/fleet.go
@@ -25,7 +25,7 @@
 	}
 	size = c.gatewayCount(now)
 	if size > len(c.peers)+1 {
-		return size, c.fleet.expiresAt - now
+		return size, max(0, c.fleet.expiresAt-now)
 	}
 	validFor = c.options.PeerExpiry
 	for _, p := range c.peers {
