Log when a request is suspected of a crash, and whether the crash is counted

The on-call could not tell why a request that had ended endpoints was not refused: no line said that its connection broke while it ran, whether the crash was counted against it, or why not, and none named the request across its repetitions. Two lines do so now, with a fingerprint; a refusal names it too.

--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -243,6 +243,10 @@
 // reportHealth reports to the crash tracker whether a connection to the endpoint broke, the endpoint was unreachable or
 // it responded. responded is set if it sent the head of a response.
 func (f *Forwarder) reportHealth(j *job, id string, result outcome, responded bool) {
+	if result == outcomeBroken {
+		f.log.Info().Str("id", j.ID).Str("endpoint", id).Str("fingerprint", j.fingerprint.String()).
+			Msg("crash: suspected")
+	}
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 		switch {
 		case result == outcomeBroken:
@@ -250,7 +254,7 @@
 		case result == outcomeUnreachable:
 			t.RecordEndpointDown(id, now)
 		case responded:
-			t.RecordEndpointUp(id)
+			t.RecordEndpointUp(id, now)
 		}
 	})
 }
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -58,6 +58,9 @@
 // reasonAbandoned is the logged reason of a request whose deadline has passed or whose caller has disconnected.
 const reasonAbandoned = "time is over or caller gone"
 
+// reasonCrashes is the logged reason of a request that must not be sent because it crashes endpoints.
+const reasonCrashes = "crashes endpoints"
+
 // Forwarder answers callers' requests. It is safe for concurrent use.
 type Forwarder struct {
 	options        Options
@@ -188,7 +191,7 @@
 	}
 	j.fingerprint = fingerprint(j)
 	if f.controller.IsQuarantined(j.fingerprint) {
-		return f.refuse(j, http.StatusServiceUnavailable, retryAfterCrashes, "crashes endpoints")
+		return f.refuse(j, http.StatusServiceUnavailable, retryAfterCrashes, reasonCrashes)
 	}
 	return true
 }
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -92,6 +92,9 @@
 	if j.account != nil {
 		e = e.Str("account", j.account.Name).Int("tokens", j.chargedTokens)
 	}
+	if j.record.reason == reasonCrashes {
+		e = e.Str("fingerprint", j.fingerprint.String())
+	}
 	if j.record.requestedTokens > 0 {
 		e = e.Int("asked", j.record.requestedTokens)
 	}
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -328,7 +328,17 @@
 func (c *Controller) UpdateCrashTracker(change func(t *crashtracker.CrashTracker, now time.Duration)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	change(c.crashTracker, c.clock())
+	now := c.clock()
+	change(c.crashTracker, now)
+	c.logCrashOutcomes(now)
+}
+
+// logCrashOutcomes logs each decision whether a crash counts against a request. The lock must be held.
+func (c *Controller) logCrashOutcomes(now time.Duration) {
+	for _, o := range c.crashTracker.TakeOutcomes(now) {
+		c.log.Info().Str("endpoint", o.Endpoint).Str("fingerprint", o.Fingerprint.String()).
+			Str("outcome", string(o.Decision)).Int64("age_ms", o.Age.Milliseconds()).Msg("crash: decided")
+	}
 }
 
 // IsQuarantined reports whether a request has crashed so many endpoints that it must not be sent again.
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -27,6 +27,7 @@
 		}
 		m.EndpointRequests[id] = [2]int64{int64(report.Requests), report.Age.Milliseconds()}
 	}
+	c.logCrashOutcomes(now)
 	for _, r := range c.crashTracker.CrashRecords(now) {
 		m.CrashRecords = append(m.CrashRecords, broadcaster.CrashRecord{
 			Fingerprint: uint64(r.Fingerprint), Endpoints: r.Endpoints, AgeMs: r.Age.Milliseconds(),
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -2,7 +2,10 @@
 // different endpoints when they crashed is assumed to be the cause and is refused.
 package quarantiner
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // maxCrashedEndpoints is the number of different endpoints after whose crash a request is refused.
 const maxCrashedEndpoints = 2
@@ -11,6 +14,11 @@
 // fingerprint.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string {
+	return strconv.FormatUint(uint64(f), 16)
+}
+
 // CrashRecord lists the endpoints that crashed while they ran one request. Gateways send it to their peers.
 type CrashRecord struct {
 	Fingerprint Fingerprint
