--- a/cmd/pistachiovane/cmds/edge_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_env_test.go
@@ -16,21 +16,29 @@
 	"github.com/pistachiovane/pistachiovane/platform/standin"
 )
 
-// testEnv is a deployment on loopback: a simulated store, simulated endpoints and one gateway.
-type testEnv struct {
-	t      *testing.T
-	store  *standin.Store
+// testGateway is a gateway and its port for callers.
+type testGateway struct {
 	daemon *daemon.Daemon
-	// server is the gateway's port for callers.
 	server *httptest.Server
-	log    *lockedBuffer
+	// cancel stops the gateway, and stopped is closed when it has stopped.
+	cancel  context.CancelFunc
+	stopped chan struct{}
+}
+
+// testEnv is a deployment on loopback: a simulated store, simulated endpoints and one gateway or several. Requests are
+// sent to the embedded gateway.
+type testEnv struct {
+	*testGateway
+	// gateways holds all gateways; settings are those of the first one.
+	gateways []*testGateway
+	settings platform.Settings
+	t        *testing.T
+	store    *standin.Store
+	log      *lockedBuffer
 	// modelEndpoints holds the endpoints of the model service "llm" by ID.
 	modelEndpoints map[string]*standin.Endpoint
 	// serviceEndpoints holds the endpoints of the plain service "desk".
 	serviceEndpoints []*standin.Endpoint
-	// cancel stops the gateway, and stopped is closed when it has stopped.
-	cancel  context.CancelFunc
-	stopped chan struct{}
 	// lastRequestID is the number in the ID of the latest request.
 	lastRequestID int
 }
@@ -47,7 +55,7 @@
 	t.Helper()
 	env := &testEnv{
 		t: t, store: standin.NewStore(), log: &lockedBuffer{},
-		modelEndpoints: map[string]*standin.Endpoint{}, stopped: make(chan struct{}),
+		modelEndpoints: map[string]*standin.Endpoint{},
 	}
 	env.putConfig(3, `"key"`)
 	env.addModelEndpoint("p1", "prefill")
@@ -57,28 +65,15 @@
 		e := env.addEndpoint(id, "desk", "")
 		env.serviceEndpoints = append(env.serviceEndpoints, e)
 	}
-	gossip, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	self := gossip.LocalAddr().(*net.UDPAddr).AddrPort() //nolint:forcetypeassert // a UDP socket has a UDP address
-	s := platform.Settings{
-		Name: "g", Domain: "a", GossipAddr: self, SeedAddrs: []netip.AddrPort{self}, StoreAddr: env.store.Address(),
+	env.settings = platform.Settings{
+		Name: "g", Domain: "a", StoreAddr: env.store.Address(),
 		Bounds: platform.Bounds{
 			DrainGrace: 8 * time.Second, RevokeDeadline: 5 * time.Second, RetriesPerRequest: perRequest,
 			ExtraRetries: extra, RetryWindow: window,
 			LimitOverageRatio: 0.25, LimitSlackTokens: 1e6, LimitWindow: 8 * time.Second,
 		},
 	}
-	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: env.log}}
-	env.daemon = daemon.New(edgeOptions(s), edgeDependencies(s), gossip, logger)
-	env.server = httptest.NewServer(platform.NewIngress(daemon.RequestHandler{Daemon: env.daemon}, 500*time.Millisecond))
-	ctx, cancel := context.WithCancel(context.Background())
-	env.cancel = cancel
-	go func() {
-		defer close(env.stopped)
-		_ = env.daemon.Serve(ctx)
-	}()
+	env.testGateway = env.startGateway(env.settings)
 	t.Cleanup(env.close)
 	env.waitFor(env.daemon.Ready, "the gateway should be ready")
 	env.waitFor(func() bool { return env.availableTokens() > 100000 },
@@ -86,9 +81,56 @@
 	return env
 }
 
+// startGateway starts a gateway on a free port for its peers' messages. The first one is the seed of the others.
+func (env *testEnv) startGateway(s platform.Settings) *testGateway {
+	env.t.Helper()
+	gossip, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	s.GossipAddr = gossip.LocalAddr().(*net.UDPAddr).AddrPort() //nolint:forcetypeassert // a UDP socket has a UDP address
+	if len(s.SeedAddrs) == 0 {
+		s.SeedAddrs = []netip.AddrPort{s.GossipAddr}
+		env.settings.SeedAddrs = s.SeedAddrs
+	}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: env.log}}
+	g := &testGateway{stopped: make(chan struct{})}
+	g.daemon = daemon.New(edgeOptions(s), edgeDependencies(s), gossip, logger)
+	g.server = httptest.NewServer(platform.NewIngress(daemon.RequestHandler{Daemon: g.daemon}, 500*time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	go func() {
+		defer close(g.stopped)
+		_ = g.daemon.Serve(ctx)
+	}()
+	env.gateways = append(env.gateways, g)
+	return g
+}
+
+// addGateway starts a further gateway and waits until it is ready and its account has tokens to spend.
+func (env *testEnv) addGateway() {
+	env.t.Helper()
+	s := env.settings
+	s.Name = fmt.Sprintf("g%d", len(env.gateways))
+	g := env.startGateway(s)
+	env.waitFor(func() bool { return g.daemon.Ready() && g.availableTokens() > 100000 },
+		"the further gateway should be ready, and the account's token bucket there filled")
+}
+
+// useGateway makes the gateway with the given number the one to which requests are sent.
+func (env *testEnv) useGateway(n int) {
+	env.testGateway = env.gateways[n%len(env.gateways)]
+}
+
+// state returns the state of the gateway as the operator port shows it.
+func (g *testGateway) state() daemon.State {
+	s, _ := g.daemon.State().(daemon.State)
+	return s
+}
+
 // availableTokens returns the tokens that the account may still spend.
-func (env *testEnv) availableTokens() float64 {
-	return env.state().AvailableTokens["acc"]
+func (g *testGateway) availableTokens() float64 {
+	return g.state().AvailableTokens["acc"]
 }
 
 // putConfig stores a configuration with the version and the account's API keys, which are quoted.
--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/pistachiovane/pistachiovane/internal/process/daemon"
 	"github.com/pistachiovane/pistachiovane/platform/standin"
 )
 
@@ -30,18 +29,14 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"acc","api_keys":[%s],"plain_tokens":200,"rate_per_s":10000000,"burst":10000000}]}`
 
-// state returns the state of the gateway as the operator port shows it.
-func (env *testEnv) state() daemon.State {
-	s, _ := env.daemon.State().(daemon.State)
-	return s
-}
-
-// close stops the gateway and the store.
+// close stops the gateways and the store.
 func (env *testEnv) close() {
-	env.cancel()
-	<-env.stopped
-	env.server.CloseClientConnections()
-	env.server.Close()
+	for _, g := range env.gateways {
+		g.cancel()
+		<-g.stopped
+		g.server.CloseClientConnections()
+		g.server.Close()
+	}
 	env.store.Close()
 }
 
