Tests: crashing requests at the edge, in the forwarder, the crash tracker and the quarantine, both ways

A request that crashes endpoints is stopped when its endpoints restart under their IDs, when a gateway starts later, when a peer reports the crashes while it is queued, prefilled, decoded or called, and when only a later reservation or the end of an entry shows the crash. One whose endpoints lost connections or left, that ran beside the guilty one, that timed out, or that many callers send while a whole domain crashes, is served.

--- a/cmd/pistachiovane/cmds/edge_crash_test.go
+++ b/cmd/pistachiovane/cmds/edge_crash_test.go
@@ -63,15 +63,22 @@
 
 // addCrashing starts a further endpoint that requests with crashingBody crash.
 func (env *crashEnv) addCrashing(stage string) {
+	env.t.Helper()
+	env.startCrashing("127.0.0.1:0", fmt.Sprintf("c%d", len(env.endpoints)), stage)
+}
+
+// startCrashing starts an endpoint with the given address and ID that requests with crashingBody crash.
+func (env *crashEnv) startCrashing(address, id, stage string) {
 	env.t.Helper()
 	service := "llm"
 	if stage == "" {
 		service = "desk"
 	}
-	e, err := standin.NewEndpoint(fmt.Sprintf("c%d", len(env.endpoints)), service, "a", stage)
+	e, err := standin.NewEndpointAt(address, id, service, "a", stage)
 	if err != nil {
 		env.t.Fatal(err)
 	}
+	e.EventsPerStream, e.EventInterval = env.endpoints[0].EventsPerStream, env.endpoints[0].EventInterval
 	e.Crashes = isCrashing
 	env.t.Cleanup(e.Close)
 	env.store.Put(e.StoreEntry("ready"))
@@ -128,3 +135,125 @@
 		})
 	}
 }
+
+// newSingleEndpointEnv starts a deployment with one decode endpoint, which requests with crashingBody crash, and streams
+// of 400 ms.
+func newSingleEndpointEnv(t *testing.T) *crashEnv {
+	t.Helper()
+	env := &crashEnv{testEnv: newTestEnv(t)}
+	env.store.Remove("servers/d2")
+	d1 := env.modelEndpoints["d1"]
+	d1.Crashes, d1.EventsPerStream, d1.EventInterval = isCrashing, 40, 10*time.Millisecond
+	env.endpoints = []*standin.Endpoint{d1}
+	env.waitFor(func() bool { return len(env.state().Endpoints) == 4 }, "the second decode endpoint should be gone")
+	return env
+}
+
+// waitUntilListed waits until the gateway lists an endpoint that has not crashed.
+func (env *crashEnv) waitUntilListed(e *standin.Endpoint) {
+	env.t.Helper()
+	env.waitFor(func() bool {
+		for _, listed := range env.state().Endpoints {
+			if listed.ID == e.ID {
+				return true
+			}
+		}
+		return false
+	}, "the new endpoint should be listed")
+}
+
+// An endpoint that starts again under its ID and address must not hide that it crashed.
+func TestEdgeSendsRequestOnWhenEndpointsRestart(t *testing.T) {
+	t.Parallel()
+	env := newSingleEndpointEnv(t)
+	for range 6 {
+		env.sendBody("/note/x", crashingBody)
+		last := env.endpoints[len(env.endpoints)-1]
+		if last.CrashedAt().IsZero() {
+			continue
+		}
+		env.store.Remove("servers/" + last.ID)
+		time.Sleep(1200 * time.Millisecond)
+		env.startCrashing(last.Address(), last.ID, "decode")
+		env.waitUntilListed(last)
+	}
+	if n := env.crashed(); n == 0 || n > maxEndedEndpoints {
+		t.Errorf("got %d crashes under one request, want 1 to %d; log:\n%s", n, maxEndedEndpoints, env.log.String())
+	}
+}
+
+// A request that ran beside one that crashes endpoints, each time it did, must be served in the end.
+func TestEdgeRefusesRequestThatRanBesideCrashingOne(t *testing.T) {
+	t.Parallel()
+	env := newSingleEndpointEnv(t)
+	var beside response
+	for range 5 {
+		done := make(chan response)
+		r := env.newRequest(http.MethodPost, "/note/x", "beside", "X-Pistachiovane-Token-Counts", "100,100")
+		go func() { done <- env.send(r) }()
+		time.Sleep(100 * time.Millisecond)
+		env.sendBody("/note/x", crashingBody)
+		beside = <-done
+		if last := env.endpoints[len(env.endpoints)-1]; !last.CrashedAt().IsZero() {
+			env.addCrashing("decode")
+			env.waitUntilListed(env.endpoints[len(env.endpoints)-1])
+		}
+	}
+	if n := env.crashed(); n == 0 || n > maxEndedEndpoints {
+		t.Errorf("got %d endpoints ended under one request, want 1 to %d", n, maxEndedEndpoints)
+	}
+	if beside.status != http.StatusOK || beside.err != nil {
+		t.Errorf("got status %d and error %v for the request beside it, want a complete stream; log:\n%s",
+			beside.status, beside.err, env.log.String())
+	}
+}
+
+// Endpoints also lose connections without crashing. A request that met this at many endpoints must be served.
+func TestEdgeRefusesRequestWhoseEndpointsLostConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, stage string
+		fault       standin.Fault
+	}{
+		"stream":        {"/note/x", "decode", standin.TruncatedResponse},
+		"prefill":       {"/note/x", "prefill", standin.ConnectionReset},
+		"plain service": {"/book/x", "", standin.ConnectionReset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newCrashEnv(t, c.stage, 2)
+			for _, e := range env.endpoints {
+				e.InjectFaults(c.fault)
+			}
+			for n := range 60 {
+				env.useGateway(n)
+				if resp := env.sendBody(c.path, "sound"); resp.status == http.StatusOK && resp.err == nil && n > 8 {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			t.Errorf("the request was not served; log:\n%s", env.log.String())
+		})
+	}
+}
+
+// A gateway that starts after the crashes must not send the request to further endpoints.
+func TestEdgeSendsCrashingRequestAfterStart(t *testing.T) {
+	t.Parallel()
+	env := newCrashEnv(t, "decode", 1)
+	for range 4 {
+		env.sendBody("/note/x", crashingBody)
+	}
+	ended := env.crashed()
+	env.addGateway()
+	env.useGateway(1)
+	time.Sleep(500 * time.Millisecond)
+	for range 3 {
+		resp := env.sendBody("/note/x", crashingBody)
+		if resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" {
+			t.Errorf("got status %d and Retry-After %q, want 503 with one", resp.status, resp.header.Get("Retry-After"))
+		}
+	}
+	if n := env.crashed(); n != ended {
+		t.Errorf("got %d endpoints ended, want the %d from before the start; log:\n%s", n, ended, env.log.String())
+	}
+}
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 )
 
@@ -53,3 +55,123 @@
 		t.Error("got no refusal after one own crash and one received from a peer, want one")
 	}
 }
+
+// newTracker returns a tracker whose list has the endpoints a, b and c.
+func newTracker() *crashtracker.CrashTracker {
+	tracker := crashtracker.New(time.Hour, 100)
+	tracker.SetEndpoints(list("a", "b", "c"), 0)
+	return tracker
+}
+
+// list returns a list of endpoints that started at 1 ms.
+func list(ids ...string) []crashtracker.Endpoint {
+	var out []crashtracker.Endpoint
+	for _, id := range ids {
+		out = append(out, crashtracker.Endpoint{ID: id, StartedAtMs: 1})
+	}
+	return out
+}
+
+// An endpoint that crashed is ejected, so that no attempt may ever find it down. Its entry is gone seconds later.
+func TestCrashFoundSecondsLaterIsIgnored(t *testing.T) {
+	tracker := newTracker()
+	tracker.RecordBrokenConnection("a", poison, 0)
+	tracker.RecordBrokenConnection("b", poison, time.Second)
+	tracker.SetEndpoints(list("b", "c"), 20*time.Second)
+	if tracker.MustRefuse(poison, 20*time.Second) {
+		t.Error("got a refusal after one entry was gone, want none")
+	}
+	restarted := list("b", "c")
+	restarted[0].StartedAtMs = 2
+	tracker.SetEndpoints(restarted, 30*time.Second)
+	if !tracker.MustRefuse(poison, 30*time.Second) {
+		t.Error("got no refusal after one entry was gone and another endpoint had started again, want one")
+	}
+}
+
+// An answer to an attempt that began before the connection broke does not show that the endpoint lives.
+func TestAnswerFromBeforeCrashClearsSuspect(t *testing.T) {
+	tracker := newTracker()
+	for i, endpoint := range []string{"a", "b"} {
+		brokenAt := time.Duration(i+1) * 10 * time.Second
+		tracker.RecordBrokenConnection(endpoint, poison, brokenAt)
+		tracker.RecordEndpointUp(endpoint, brokenAt-time.Millisecond, brokenAt+time.Millisecond)
+		tracker.RecordEndpointDown(endpoint, brokenAt+5*time.Millisecond)
+	}
+	if !tracker.MustRefuse(poison, time.Minute) {
+		t.Error("got no refusal after two crashes, want one")
+	}
+}
+
+// Endpoints that leave break connections at their end, refuse new ones and lose their entries without a crash.
+func TestEndOfLeavingEndpointIsAttributed(t *testing.T) {
+	for name, leave := range map[string]func(tracker *crashtracker.CrashTracker, id string){
+		"announced": func(tracker *crashtracker.CrashTracker, id string) {
+			tracker.SetEndpoints([]crashtracker.Endpoint{{ID: id, StartedAtMs: 1, Leaving: true}}, time.Second)
+			tracker.RecordBrokenConnection(id, innocent, 2*time.Second)
+			tracker.SetEndpoints(nil, 3*time.Second)
+		},
+		"entry removed first": func(tracker *crashtracker.CrashTracker, id string) {
+			tracker.SetEndpoints(list(id), 0)
+			tracker.SetEndpoints(nil, time.Second)
+			tracker.RecordBrokenConnection(id, innocent, 3*time.Second)
+			tracker.RecordEndpointDown(id, 3*time.Second)
+		},
+		"reachable after the connection broke": func(tracker *crashtracker.CrashTracker, id string) {
+			tracker.SetEndpoints(list(id), 0)
+			tracker.RecordBrokenConnection(id, innocent, time.Second)
+			tracker.RecordEndpointReachable(id)
+			tracker.SetEndpoints(nil, 3*time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := crashtracker.New(time.Hour, 100)
+			for _, id := range []string{"a", "b", "c"} {
+				leave(tracker, id)
+			}
+			if got := tracker.CrashRecords(3 * time.Second); len(got) != 0 {
+				t.Errorf("got crash records %+v, want none", got)
+			}
+		})
+	}
+}
+
+// All endpoints of a failure domain may crash at once, with several runs of a request that many callers send.
+func TestRequestThatIsServedElsewhereIsRefused(t *testing.T) {
+	tracker := newTracker()
+	tracker.RecordServed(innocent, 0)
+	for _, endpoint := range []string{"a", "b", "c"} {
+		tracker.RecordBrokenConnection(endpoint, innocent, time.Second)
+		tracker.RecordBrokenConnection(endpoint, poison, time.Second)
+		tracker.RecordEndpointDown(endpoint, time.Second)
+	}
+	if tracker.MustRefuse(innocent, time.Second) {
+		t.Error("got a refusal of a request that completed a second ago, want none")
+	}
+	if !tracker.MustRefuse(poison, time.Second) {
+		t.Error("got no refusal of a request that never completed, want one")
+	}
+	tracker.RecordServed(poison, 2*time.Second)
+	if tracker.MustRefuse(poison, 2*time.Second) {
+		t.Error("got a refusal of a request whose further run completed, want none")
+	}
+}
+
+// The log must say of each suspect what became of it.
+func TestDecisionIsNotLogged(t *testing.T) {
+	tracker := newTracker()
+	tracker.RecordBrokenConnection("a", poison, 0)
+	tracker.RecordEndpointDown("a", time.Second)
+	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
+	tracker.RecordEndpointUp("b", 3*time.Second, 4*time.Second)
+	tracker.RecordBrokenConnection("c", poison, 5*time.Second)
+	got := tracker.TakeOutcomes(2 * time.Minute)
+	want := []crashtracker.Outcome{
+		{Endpoint: "a", Fingerprint: poison, Decision: crashtracker.Counted, Age: time.Second},
+		{Endpoint: "b", Fingerprint: poison, Decision: crashtracker.EndpointAnswered, Age: 2 * time.Second},
+		{Endpoint: "c", Fingerprint: poison, Decision: crashtracker.NothingFound, Age: 115 * time.Second},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("wrong outcomes (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -0,0 +1,318 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
+	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
+	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
+	"github.com/pistachiovane/pistachiovane/internal/routing/fencer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
+	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
+	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+)
+
+// scriptedEndpoints answers the calls of a forwarder with functions. It counts what is sent.
+type scriptedEndpoints struct {
+	run     func(address string) (*Response, error)
+	prefill func(address string) (string, *Response, error)
+	reserve func(address string) (string, error)
+	connect func(address string) error
+
+	mu       sync.Mutex
+	runs     []string
+	prefills []string
+}
+
+var (
+	errLost    = &exchanger.Failure{SendState: exchanger.PossiblySent, Cause: io.ErrUnexpectedEOF}
+	errRefused = &exchanger.Failure{SendState: exchanger.NotSent, Cause: syscall.ECONNREFUSED}
+)
+
+func (s *scriptedEndpoints) Connect(_ context.Context, address string) error {
+	if s.connect == nil {
+		return errors.New("i/o timeout")
+	}
+	return s.connect(address)
+}
+
+func (s *scriptedEndpoints) Run(_ context.Context, address string, _ Attempt) (*Response, error) {
+	s.mu.Lock()
+	s.runs = append(s.runs, address)
+	s.mu.Unlock()
+	return s.run(address)
+}
+
+func (s *scriptedEndpoints) Reserve(
+	_ context.Context, address, _ string, _ int, _ time.Duration,
+) (reservationID string, err error) {
+	if s.reserve == nil {
+		return "r", nil
+	}
+	return s.reserve(address)
+}
+
+func (s *scriptedEndpoints) Release(context.Context, string, string) {}
+
+func (s *scriptedEndpoints) Prefill(_ context.Context, address string, _ Attempt) (string, *Response, error) {
+	s.mu.Lock()
+	s.prefills = append(s.prefills, address)
+	s.mu.Unlock()
+	if s.prefill == nil {
+		return address + "/k", answer("", 200), nil
+	}
+	return s.prefill(address)
+}
+
+func (s *scriptedEndpoints) FreeKVCache(context.Context, string, string) {}
+
+// sent returns how many runs and prefills were sent.
+func (s *scriptedEndpoints) sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.runs) + len(s.prefills)
+}
+
+// answer returns a whole response.
+func answer(body string, status int) *Response {
+	return &Response{
+		Status: status, Header: http.Header{"Content-Type": {"text/event-stream"}}, HasServerSeal: true,
+		ContentLength: int64(len(body)), Body: strings.NewReader(body), Close: func() {},
+	}
+}
+
+// testForwarder is a forwarder with three endpoints of each kind.
+type testForwarder struct {
+	*Forwarder
+	endpoints *scriptedEndpoints
+	list      []lister.Endpoint
+	log       *strings.Builder
+}
+
+func newTestForwarder(t *testing.T) *testForwarder {
+	t.Helper()
+	f := &testForwarder{endpoints: &scriptedEndpoints{}, log: &strings.Builder{}}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: f.log}}
+	active := tracker.New(clock.SinceBoot)
+	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a seeded test
+	c := controller.New(controller.Components{
+		Clock: clock.SinceBoot, Tracker: active,
+		Planner: planner.New(planner.Options{
+			Domain: "a", PrefillRate: 50000, DecodeRate: 1550, MaxMemoryFraction: 0.9, MaxPrefillWait: 450 * time.Millisecond,
+			MaxQueueWait: 2500 * time.Millisecond, MaxLoadAge: 1500 * time.Millisecond,
+		}, random),
+		Balancer: balancer.New("a", random), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
+		Retrier:    retrier.New(retrier.Options{RetriesPerRequest: 1, ExtraRetries: 1000, Window: time.Second}),
+		Rebalancer: rebalancer.New(rebalancer.Options{}), Profiler: profiler.New(profiler.Options{}), Fencer: fencer.New(),
+		CrashTracker: crashtracker.New(time.Hour, 100), Log: logger,
+	})
+	services := func(name string) []matcher.WeightedService { return []matcher.WeightedService{{Service: name}} }
+	m := matcher.New(matcher.Config{
+		Version: 1, Services: []matcher.Service{{Name: "desk"}, {Name: "llm", Engine: &matcher.Engine{
+			Slots: 4, KVCapacityTokens: 100000, HandleTTL: time.Second,
+		}}},
+		Routes: []matcher.Route{
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: matcher.Idempotent, MaxAttempts: 3, SkipAuth: true, Services: services("desk")},
+			{
+				Name: "draft", Host: "h", Prefix: "/draft/", Kind: matcher.Stream, MaxAttempts: 3, Resumable: true, SkipAuth: true,
+				TargetLatency: time.Second, Services: services("llm"),
+			},
+		},
+	})
+	active.Accept(m, clock.SinceBoot())
+	c.Configure(m)
+	for _, id := range []string{"s1", "s2", "s3", "p1", "p2", "p3", "d1", "d2", "d3"} {
+		e := lister.Endpoint{ID: id, Address: id, Service: "llm", Domain: "a", Slots: 4, Model: true, Prefill: id[0] == 'p'}
+		if id[0] == 's' {
+			e.Service, e.Model = "desk", false
+		}
+		f.list = append(f.list, e)
+	}
+	c.SetEndpoints(f.list)
+	f.Forwarder = New(Options{
+		MaxConfigAgeForKeys: time.Minute, MaxConfigAgeForNotFound: time.Minute, MinFirstEventTimeout: time.Second,
+	}, clock.SinceBoot, active, c, f.endpoints, logger)
+	return f
+}
+
+// send sends a request with the body "b". Requests to /draft/ are generations. The status is 0 if the connection was
+// closed.
+func (f *testForwarder) send(path string) (w *httptest.ResponseRecorder) {
+	w = httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			w.Code = 0
+		}
+	}()
+	f.Serve(context.Background(), w, f.request(path))
+	return w
+}
+
+func (f *testForwarder) request(path string) *Request {
+	return &Request{
+		ID: "i", Method: http.MethodPost, Target: path, Host: "h", Path: path, Body: []byte("b"), TimeBudget: 3 * time.Second,
+		HasTokenCounts: strings.HasPrefix(path, "/draft/"), PromptTokens: 100, MaxOutputTokens: 100,
+	}
+}
+
+// reportCrashes is a message of a peer that the request to a path crashed two endpoints.
+func (f *testForwarder) reportCrashes(path string) {
+	crash := []broadcaster.Crash{{Endpoint: "x", AgeMs: 5000}, {Endpoint: "y", AgeMs: 10}}
+	f.controller.Receive(broadcaster.Message{From: "peer", Incarnation: 1, CrashRecords: []broadcaster.CrashRecord{
+		{Fingerprint: uint64(fingerprint(&job{Request: f.request(path)})), Crashes: crash},
+	}})
+}
+
+// What a peer reports may arrive while the request is being served. Nothing more may be sent from then on, and the status
+// must not say that the request has not run if it may have.
+func TestRequestInProgressIsSentAfterPeerReportsCrashes(t *testing.T) {
+	for name, c := range map[string]struct {
+		path       string
+		prepare    func(f *testForwarder)
+		wantSent   int
+		wantStatus int
+	}{
+		"on arrival": {"/draft/x", func(f *testForwarder) { f.reportCrashes("/draft/x") }, 0, 503},
+		"while reserving": {"/draft/x", func(f *testForwarder) {
+			f.endpoints.reserve = func(string) (string, error) { f.reportCrashes("/draft/x"); return "r", nil }
+		}, 0, 503},
+		"during the prefill": {"/draft/x", func(f *testForwarder) {
+			f.endpoints.prefill = func(string) (string, *Response, error) {
+				f.reportCrashes("/draft/x")
+				return "k", answer("", 200), nil
+			}
+		}, 1, 503},
+		"after a failed prefill": {"/draft/x", func(f *testForwarder) {
+			f.endpoints.prefill = func(string) (string, *Response, error) { f.reportCrashes("/draft/x"); return "", nil, errLost }
+		}, 1, 503},
+		"during the decode": {"/draft/x", func(f *testForwarder) {
+			f.endpoints.run = func(string) (*Response, error) { f.reportCrashes("/draft/x"); return nil, errLost }
+		}, 2, 502},
+		"during a call": {"/read/x", func(f *testForwarder) {
+			f.endpoints.run = func(string) (*Response, error) { f.reportCrashes("/read/x"); return nil, errLost }
+		}, 1, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			c.prepare(f)
+			w := f.send(c.path)
+			if w.Code != c.wantStatus || f.endpoints.sent() != c.wantSent {
+				t.Errorf("got status %d after %d sends, want %d after %d; log:\n%s",
+					w.Code, f.endpoints.sent(), c.wantStatus, c.wantSent, f.log)
+			}
+			if w.Code == 503 && w.Header().Get("Retry-After") == "" {
+				t.Error("got no Retry-After, want the rest of the quarantine")
+			}
+		})
+	}
+}
+
+// The probe after a broken connection may get no answer. The crash must count once a later call is refused, whichever it
+// is: generations reserve before they decode.
+func TestCrashFoundByLaterCallIsIgnored(t *testing.T) {
+	for name, refuse := range map[string]func(e *scriptedEndpoints, down map[string]bool){
+		"reservation": func(e *scriptedEndpoints, down map[string]bool) {
+			e.reserve = func(address string) (string, error) {
+				if down[address] {
+					return "", errRefused
+				}
+				return "r", nil
+			}
+		},
+		"decode": func(e *scriptedEndpoints, down map[string]bool) {
+			run := e.run
+			e.run = func(address string) (*Response, error) {
+				if down[address] {
+					return nil, errRefused
+				}
+				return run(address)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			down := map[string]bool{}
+			crashing := true
+			f.endpoints.run = func(address string) (*Response, error) {
+				if !crashing {
+					return answer("id: 1\n\n", 200), nil
+				}
+				down[address] = true
+				return nil, errLost
+			}
+			refuse(f.endpoints, down)
+			f.send("/draft/crash")
+			crashing = false
+			for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+				f.send("/draft/other")
+				if v := f.controller.DecideQuarantine(fingerprint(&job{Request: f.request("/draft/crash")})); v.Refused {
+					return
+				}
+			}
+			t.Errorf("the request is not refused after %d endpoints were down; log:\n%s", len(down), f.log)
+		})
+	}
+}
+
+// A failed attempt without a broken connection is no suspicion, and neither is a broken connection to the caller.
+func TestRequestIsSuspectedWithoutBrokenConnection(t *testing.T) {
+	for name, run := range map[string]func() (*Response, error){
+		"time-out": func() (*Response, error) {
+			return nil, &exchanger.Failure{SendState: exchanger.PossiblySent, Cause: context.DeadlineExceeded}
+		},
+		"no seal": func() (*Response, error) { r := answer("b", 200); r.HasServerSeal = false; return r, nil },
+		"error":   func() (*Response, error) { return answer("b", 500), nil },
+		"refused": func() (*Response, error) { return nil, errRefused },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			f.endpoints.run = func(string) (*Response, error) { return run() }
+			f.endpoints.connect = func(string) error { return errRefused }
+			for range 4 {
+				f.send("/read/x")
+			}
+			f.send("/draft/x")
+			f.controller.SetEndpoints(nil)
+			if strings.Contains(f.log.String(), "crash: suspected") {
+				t.Errorf("got a suspicion, want none; log:\n%s", f.log)
+			}
+		})
+	}
+}
+
+// A response without a length that ends with its connection may be whole, or the endpoint may have crashed.
+func TestCrashInResponseWithoutLengthIsIgnored(t *testing.T) {
+	f := newTestForwarder(t)
+	f.endpoints.run = func(string) (*Response, error) {
+		r := answer("b", 200)
+		r.ContentLength, r.EndsWithConnection = -1, true
+		return r, nil
+	}
+	f.send("/read/x")
+	f.send("/read/x")
+	f.send("/read/x")
+	f.controller.SetEndpoints(nil)
+	if n := strings.Count(f.log.String(), `"counted"`); n < 2 {
+		t.Errorf("got %d crashes counted, want those of the endpoints that are gone; log:\n%s", n, f.log)
+	}
+}
