Soak: requests that crash endpoints, in the run and in the prefill, and harmless ones with one body

The soak's endpoints never went down. A caller now sends requests that crash each endpoint that runs them, on all routes and at all gateways; endpoints that crashed refuse connections, lose their entries after 3 s and are replaced after 1 s. New guarantee: at most three runs later than 3 s after the third crash, and anew after all gateways lost their memory. A third of the other requests have one body, so that a wrong quarantine is found.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -80,7 +80,12 @@
 		if c.apiKey == "" || c.rng.Float64() > staleKeyRatio {
 			c.apiKey = c.testbed.pickKey(c.account, c.rng)
 		}
-		r := c.send([]string{"draft", "note", "book", "book", "read", "read"}[c.rng.IntN(6)])
+		route := []string{"draft", "note", "book", "book", "read", "read"}[c.rng.IntN(6)]
+		body := ""
+		if c.rng.Float64() < repeatedRatio {
+			body = repeatedBody
+		}
+		r := c.send(route, body)
 		c.testbed.recordRequest(r)
 		if r.Status == 0 && r.CancelledAt.IsZero() || c.rng.Float64() < switchGatewayRatio {
 			c.switchGateway()
@@ -88,17 +93,20 @@
 	}
 }
 
-// send sends one request to a route and returns its record.
-func (c *caller) send(route string) verifier.Request {
+// send sends one request to a route and returns its record. An empty body means one that no other request has.
+func (c *caller) send(route, body string) verifier.Request {
 	n := lastRequestNumber.Add(1)
 	r := verifier.Request{
 		ID: fmt.Sprintf("%s-%d", route, n), Account: c.account, APIKey: c.apiKey, Gateway: c.gateway.name,
 		ChargedTokens: 200, Kind: verifier.AtMostOnce,
 	}
+	if body == "" {
+		body = "body of " + r.ID
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeBudget+time.Second)
 	defer cancel()
 	q, err := http.NewRequestWithContext(
-		ctx, http.MethodPost, "http://"+c.gateway.address+":8360/"+route+"/x", strings.NewReader("body of "+r.ID))
+		ctx, http.MethodPost, "http://"+c.gateway.address+":8360/"+route+"/x", strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
--- /dev/null
+++ b/cmd/soak/crashes.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/platform/standin"
+)
+
+const (
+	// crashingBody is the body of requests that crash each endpoint that begins to run them. Those with
+	// prefillCrashingBody also crash each endpoint that begins to prefill them.
+	crashingBody        = "crash"
+	prefillCrashingBody = "crash in the prefill"
+	// repeatedBody is the body of requests that many callers send and that do no harm.
+	repeatedBody = "repeated"
+	// repeatedRatio is the fraction of requests with repeatedBody.
+	repeatedRatio = 0.3
+	// crashingInterval is the pause between two requests with crashingBody.
+	crashingInterval = 600 * time.Millisecond
+	// crashedRestartTime is the time from the crash of an endpoint to the start of another one in its place, and
+	// crashedEntryTime the time until its entry expires.
+	crashedRestartTime = time.Second
+	crashedEntryTime   = 3 * time.Second
+)
+
+// isCrashing reports whether a run or a prefill crashes its endpoint.
+func isCrashing(r standin.Run) bool {
+	return r.Body == prefillCrashingBody || (r.Body == crashingBody && !r.IsPrefill)
+}
+
+// newCrasher returns a caller for runCrasher.
+func newCrasher(b *testbed, seed uint64) *caller {
+	return &caller{
+		testbed: b, rng: rand.New(rand.NewPCG(seed, 11)), account: bigAccount, neverCancels: true, //nolint:gosec // a seeded test
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+	}
+}
+
+// runCrasher sends requests that crash endpoints to random gateways, to each route in turn, until stop is closed.
+func (c *caller) runCrasher(stop <-chan struct{}) {
+	routes := []string{"note", "draft", "read", "book"}
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(crashingInterval):
+		}
+		c.gateway = c.testbed.pickGateway(c.rng)
+		c.apiKey = c.testbed.pickKey(c.account, c.rng)
+		route, body := routes[n%len(routes)], crashingBody
+		if route == "note" {
+			body = prefillCrashingBody
+		}
+		r := c.send(route, body)
+		r.CrashesAs = route
+		c.testbed.recordRequest(r)
+	}
+}
+
+// handleCrash closes the proxy of an endpoint that crashed, so that its address refuses connections.
+func (b *testbed) handleCrash(e *endpoint) {
+	e.proxy.Close()
+	b.log.Info().Str("endpoint", e.ID).Msg("crashed")
+}
+
+// replaceCrashed starts endpoints in the place of those that crashed, and removes the entries of these from the store
+// when they have expired. It returns an error if an endpoint can't be started.
+func (b *testbed) replaceCrashed() error {
+	b.mu.Lock()
+	var stages []string
+	for _, e := range b.endpoints {
+		crashedAt := e.CrashedAt()
+		if crashedAt.IsZero() {
+			continue
+		}
+		if !e.replaced && time.Since(crashedAt) > crashedRestartTime {
+			e.replaced = true
+			stages = append(stages, e.Stage)
+		}
+		if !e.expired && time.Since(crashedAt) > crashedEntryTime {
+			e.expired, e.leaving = true, true
+			key, _ := e.StoreEntry("ready")
+			b.store.Remove(key)
+		}
+	}
+	b.mu.Unlock()
+	for _, stage := range stages {
+		if err := b.addEndpoint(stage); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// memoryLosses returns when all gateways had lost what they knew.
+func (b *testbed) memoryLosses() []time.Time {
+	var out []time.Time
+	for _, p := range b.faultPeriods {
+		if kind, target, _ := strings.Cut(p.fault, " "); kind == "kill" && target == "all" {
+			out = append(out, p.from)
+		}
+	}
+	return out
+}
--- a/cmd/soak/endpoints.go
+++ b/cmd/soak/endpoints.go
@@ -17,6 +17,9 @@
 	proxy *proxier.Proxier
 	// leaving is set before the endpoint is announced to leave.
 	leaving bool
+	// replaced and expired are set when another endpoint has started after a crash, and when the entry has been removed.
+	replaced bool
+	expired  bool
 }
 
 // state returns the state that the endpoint announces in the store. The caller must hold the lock of the testbed.
@@ -27,9 +30,19 @@
 	return "ready"
 }
 
+// newEndpointID returns an ID that no other endpoint has. Parallel testbeds have different ones, because the port of an
+// endpoint that crashed may be assigned to one of another testbed.
+func (b *testbed) newEndpointID() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.startedEndpoints++
+	return fmt.Sprintf("e%d-%d", b.slot, b.startedEndpoints)
+}
+
 // addEndpoint starts an endpoint with a proxy in front of it and writes its entry to the store. An empty stage
 // makes it an endpoint of the plain service.
-func (b *testbed) addEndpoint(id, stage string) error {
+func (b *testbed) addEndpoint(stage string) error {
+	id := b.newEndpointID()
 	service := modelService
 	if stage == "" {
 		service = plainService
@@ -42,10 +55,12 @@
 	if err != nil {
 		return err
 	}
+	added := &endpoint{Endpoint: e, proxy: proxy}
+	e.Crashes, e.OnCrash = isCrashing, func() { b.handleCrash(added) }
 	e.EchoRequestID, e.AdvertisedAddress, e.EventsPerStream, e.EventInterval, e.ServiceTime = true, proxy.Address(),
 		eventsPerStream, 20*time.Millisecond, 20*time.Millisecond
 	b.mu.Lock()
-	b.endpoints = append(b.endpoints, &endpoint{Endpoint: e, proxy: proxy})
+	b.endpoints = append(b.endpoints, added)
 	b.mu.Unlock()
 	b.store.Put(e.StoreEntry("ready"))
 	return nil
@@ -56,14 +71,13 @@
 func (b *testbed) replaceEndpoint(i int) error {
 	b.mu.Lock()
 	replaced := b.endpoints[i%len(b.endpoints)]
-	id := fmt.Sprintf("e%d", len(b.endpoints))
-	alreadyLeaving := replaced.leaving
-	replaced.leaving = true
+	alreadyLeaving := replaced.leaving || !replaced.CrashedAt().IsZero()
+	replaced.leaving = replaced.leaving || !alreadyLeaving
 	b.mu.Unlock()
 	if alreadyLeaving {
 		return nil
 	}
-	if err := b.addEndpoint(id, replaced.Stage); err != nil {
+	if err := b.addEndpoint(replaced.Stage); err != nil {
 		return err
 	}
 	b.mu.Lock()
@@ -73,8 +87,8 @@
 	return nil
 }
 
-// runHeartbeat writes the entries of all endpoints to the store, with pauses of heartbeatInterval, until stop is
-// closed.
+// runHeartbeat writes the entries of all endpoints to the store and replaces those that crashed, with pauses of
+// heartbeatInterval, until stop is closed.
 func (b *testbed) runHeartbeat(stop <-chan struct{}) {
 	for {
 		select {
@@ -83,16 +97,21 @@
 		case <-time.After(heartbeatInterval):
 		}
 		b.writeHeartbeats()
+		if err := b.replaceCrashed(); err != nil {
+			b.log.Error().Err(err).Msg("endpoint not replaced")
+		}
 	}
 }
 
-// writeHeartbeats writes the entries of all endpoints to the store. It holds the lock meanwhile, so that no entry of a
+// writeHeartbeats writes the entries of all endpoints that have not crashed to the store. It holds the lock meanwhile, so that no entry of a
 // leaving endpoint is overwritten by an older state.
 func (b *testbed) writeHeartbeats() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range b.endpoints {
-		b.store.Put(e.StoreEntry(e.state()))
+		if e.CrashedAt().IsZero() {
+			b.store.Put(e.StoreEntry(e.state()))
+		}
 	}
 }
 
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -181,6 +181,7 @@
 	for i := range a.Callers {
 		start(newCaller(b, seed, i).run)
 	}
+	start(newCrasher(b, seed).runCrasher)
 	err = newInjector(b, seed).run(a.For)
 	recoveredAt := time.Now().Add(recoveryTime)
 	time.Sleep(recoveryTime + finalCheckDuration)
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -66,6 +66,8 @@
 
 // testbed is a system of gateway processes that use stand-ins of the platform's store and endpoints.
 type testbed struct {
+	// slot is different for parallel testbeds.
+	slot int
 	// dir holds the settings and logs of the gateways and the log of the faults.
 	dir      string
 	log      *log.Logger
@@ -77,6 +79,8 @@
 	mu sync.Mutex
 	// endpoints holds all endpoints ever started, including those that are leaving.
 	endpoints []*endpoint
+	// startedEndpoints is the number of endpoints for which an ID was assigned.
+	startedEndpoints int
 	// version is the version of the latest configuration.
 	version int
 	// keys holds the valid API keys by client account; lastKeyNumber is the number in the newest key.
@@ -94,7 +98,7 @@
 // parallel testbeds apart.
 func newTestbed(program, dir string, seed uint64, slot, gateways int) (*testbed, error) {
 	b := &testbed{
-		dir: dir, log: &log.Logger{Writer: &log.FileWriter{Filename: filepath.Join(dir, "faults.log")}},
+		slot: slot, dir: dir, log: &log.Logger{Writer: &log.FileWriter{Filename: filepath.Join(dir, "faults.log")}},
 		rng:   rand.New(rand.NewPCG(seed, 7)), //nolint:gosec // a seeded test
 		store: standin.NewStore(), keys: map[string][]string{},
 		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, faultCounts: map[string]int{},
@@ -105,8 +109,8 @@
 		}
 	}
 	b.writeConfig()
-	for i, stage := range initialStages {
-		if err := b.addEndpoint(fmt.Sprintf("e%d", i), stage); err != nil {
+	for _, stage := range initialStages {
+		if err := b.addEndpoint(stage); err != nil {
 			return nil, err
 		}
 	}
@@ -263,14 +267,14 @@
 	b.requests = append(b.requests, r)
 }
 
-// history returns the records of callers and endpoints and the operators' actions. Prefills are left out: only the
-// decode of a generation counts as a run.
+// history returns the records of callers and endpoints and the operators' actions. Only the decode of a
+// generation counts as a run.
 func (b *testbed) history(recoveredAt time.Time) verifier.History {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := verifier.History{
 		Bounds: bounds, Requests: b.requests, WithdrawnAt: b.withdrawnAt, LeavingSince: b.leavingSince,
-		RecoveredAt: recoveredAt,
+		RecoveredAt: recoveredAt, MemoryLostAt: b.memoryLosses(),
 		Limits: map[string]verifier.AccountLimit{
 			smallAccount: {TokensPerSecond: smallTokensPerSecond, BurstTokens: smallBurstTokens},
 		},
@@ -286,20 +290,25 @@
 		}
 	}
 	for _, e := range b.endpoints {
+		crashedAt := e.CrashedAt()
 		for _, r := range e.Runs() {
-			if r.IsPrefill {
-				continue
-			}
 			endedAt := r.EndedAt
 			if endedAt.IsZero() {
 				endedAt = time.Now()
 			}
-			h.Runs = append(h.Runs, verifier.Run{
+			crashed := !crashedAt.IsZero() && !endedAt.Before(crashedAt)
+			run := verifier.Run{
 				ID: r.RequestID, Account: r.Account, Endpoint: e.ID, StartedAt: r.StartedAt, EndedAt: r.EndedAt,
-				Disrupted: (!r.Complete && !r.CallerDisconnected) ||
+				Crashed: crashed && isCrashing(r),
+				Disrupted: crashed || (!r.Complete && !r.CallerDisconnected) ||
 					!b.faultFree(r.StartedAt, endedAt, func(fault string) bool { return fault == "path "+e.ID }),
 				ReceivedKey: r.Header.Get(credentialHeader) != "",
-			})
+			}
+			if r.IsPrefill {
+				h.Prefills = append(h.Prefills, run)
+				continue
+			}
+			h.Runs = append(h.Runs, run)
 		}
 	}
 	return h
--- a/cmd/soak/testbed_test.go
+++ b/cmd/soak/testbed_test.go
@@ -17,8 +17,8 @@
 		faultCounts: map[string]int{},
 	}
 	t.Cleanup(b.close)
-	for i := range endpoints {
-		if err := b.addEndpoint(string(rune('a'+i)), stageDecode); err != nil {
+	for range endpoints {
+		if err := b.addEndpoint(stageDecode); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/soak/verifier/verifier.go
+++ b/internal/soak/verifier/verifier.go
@@ -37,6 +37,9 @@
 	Status int
 	// Defect describes what is wrong with a response of status 200; it is empty when nothing is.
 	Defect string
+	// CrashesAs names the requests with the same account, target and body, which crash each endpoint that runs them. It is
+	// empty for requests that do no harm.
+	CrashesAs string
 	// CancelledAt is when the caller disconnected; it is zero when the caller waited for the response.
 	CancelledAt time.Time
 }
@@ -52,6 +55,8 @@
 	EndedAt time.Time
 	// Disrupted is set when the endpoint or the network path to it had a fault during the run.
 	Disrupted bool
+	// Crashed is set when the run crashed the endpoint.
+	Crashed bool
 	// ReceivedKey is set when the gateway passed the caller's API key on to the endpoint.
 	ReceivedKey bool
 }
@@ -108,11 +113,15 @@
 	Bounds   Bounds
 	Requests []Request
 	Runs     []Run
+	// Prefills holds the prefills of generations, which are no runs.
+	Prefills []Run
 	// Limits holds the limits by client account; accounts without a limit are missing.
 	Limits map[string]AccountLimit
 	// RecoveredAt is the time from which every request must be served, because the last fault ended long enough
 	// before. It is zero when there was no such time.
 	RecoveredAt time.Time
+	// MemoryLostAt holds when all gateways had lost what they knew.
+	MemoryLostAt []time.Time
 	// Shutdowns are the shutdowns of gateways that no other fault disturbed.
 	Shutdowns []Shutdown
 	// WithdrawnAt holds the time of the withdrawal of each withdrawn API key, by key. LeavingSince holds the time of
@@ -164,6 +173,7 @@
 	}
 	v.checkLimits()
 	v.checkRetries()
+	v.checkCrashes()
 	sort.SliceStable(v.findings, func(i, j int) bool { return v.findings[i].Promise < v.findings[j].Promise })
 	return v.findings
 }
@@ -201,11 +211,11 @@
 	}
 }
 
-// mustBeServed returns whether neither a limit of the client account nor a withdrawn API key justifies a refusal.
+// mustBeServed returns whether no limit of the client account, withdrawn API key or crash of endpoints justifies a refusal.
 func (v *Verifier) mustBeServed(r *Request) bool {
 	_, limited := v.history.Limits[r.Account]
 	_, withdrawn := v.history.WithdrawnAt[r.APIKey]
-	return !limited && !withdrawn
+	return !limited && !withdrawn && r.CrashesAs == ""
 }
 
 // checkCancelled checks that the endpoint stopped working on a request within CancelDeadline after its caller
--- a/internal/soak/verifier/verifier_test.go
+++ b/internal/soak/verifier/verifier_test.go
@@ -46,6 +46,39 @@
 	}
 }
 
+// addCrashes adds three endpoints that crash under a request, the last one in the prefill, and the given number of runs
+// that began later than the third crash could be noticed. It adds the same request after all gateways lost their memory.
+func addCrashes(h *verifier.History, lateRuns int) {
+	h.Limits, h.Bounds.ExtraRetries, h.MemoryLostAt = nil, 100, []time.Time{at(20000)}
+	h.Requests = append(h.Requests, verifier.Request{ID: "d", Kind: verifier.Retryable, Account: "acc", CrashesAs: "d"})
+	run := verifier.Run{ID: "d", Account: "acc", Endpoint: "e1", Crashed: true, Disrupted: true}
+	for i := range 3 + lateRuns {
+		run.StartedAt, run.EndedAt = at(1000*i), at(1000*i+100)
+		if i >= 3 {
+			run.StartedAt, run.EndedAt = at(6000+1000*i), at(6100+1000*i)
+		}
+		if i == 2 {
+			h.Prefills = append(h.Prefills, run)
+			continue
+		}
+		h.Runs = append(h.Runs, run)
+	}
+	for i := range 3 {
+		run.StartedAt, run.EndedAt = at(21000+1000*i), at(21100+1000*i)
+		h.Runs = append(h.Runs, run)
+	}
+}
+
+// Three runs after the third crash was noticed are allowed, and so are further crashes after all gateways lost what they
+// knew.
+func TestAllowedCrashesGiveFindings(t *testing.T) {
+	h := history()
+	addCrashes(&h, 3)
+	if f := verifier.New(h).Check(); len(f) > 0 {
+		t.Errorf("got findings %v, want none", f)
+	}
+}
+
 // TestKeptPromisesGiveNoFindings guards against false findings.
 func TestKeptPromisesGiveNoFindings(t *testing.T) {
 	if f := verifier.New(history()).Check(); len(f) > 0 {
@@ -80,6 +113,7 @@
 			h.Requests[0].Status = 0
 		},
 		"limits": func(h *verifier.History) { h.Requests[0].ChargedTokens = 300 },
+		"crashing requests stop": func(h *verifier.History) { addCrashes(h, 4) },
 		"repeats": func(h *verifier.History) {
 			for i := range 3 {
 				h.Runs = append(h.Runs, verifier.Run{
