Product's own interface: a crash counts only against requests that were running

Callers could be refused as poison (422) although their requests did no harm: an agent reported a crash of its engine also when it could not open a connection to it, so that nothing ran, and when its own connection to the gateway broke while it sent tokens. Two such reports at different endpoints put a request in quarantine. The first is unreachable now, the second a lost attempt; TestRequestIsBlamedForCrashOfAnother got 'crashed' for both before.

Messages to peers carry the changes of the last minute and 64 others in turn instead of all.

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -287,7 +288,7 @@
 			continue
 		}
 		if err := p.Notify(ctx, fleet.MethodTokens, batch); err != nil {
-			return err
+			return GatewayError{Cause: err}
 		}
 		batch.Texts = nil
 	}
@@ -361,15 +362,37 @@
 	return resp, nil
 }
 
-// outcomeOf returns the outcome of work that failed: OutcomeAttemptLost if the engine responded with an error status or
-// the work was cancelled. Any other error, such as a connection that can't be opened or ends early, counts as a crash
-// of the engine.
+// GatewayError is the error of sending tokens to the gateway.
+type GatewayError struct {
+	Cause error
+}
+
+// Error returns the message of the cause.
+func (g GatewayError) Error() string {
+	return "send tokens: " + g.Cause.Error()
+}
+
+// Unwrap returns the cause for errors.Is and errors.As.
+func (g GatewayError) Unwrap() error {
+	return g.Cause
+}
+
+// outcomeOf returns the outcome of work that failed. It is OutcomeAttemptLost if the engine responded with an error
+// status, the work was cancelled or the gateway could not be reached, and OutcomeEndpointUnreachable if no connection to
+// the engine could be opened, so that nothing ran. Any other error, such as a connection that ends early, counts as a
+// crash of the engine.
 func outcomeOf(ctx context.Context, err error) fleet.Outcome {
 	var status StatusError
-	if errors.As(err, &status) || ctx.Err() != nil {
+	var gateway GatewayError
+	var op *net.OpError
+	switch {
+	case errors.As(err, &status), errors.As(err, &gateway), ctx.Err() != nil:
 		return fleet.OutcomeAttemptLost
+	case errors.As(err, &op) && op.Op == "dial":
+		return fleet.OutcomeEndpointUnreachable
+	default:
+		return fleet.OutcomeEndpointCrashed
 	}
-	return fleet.OutcomeEndpointCrashed
 }
 
 // reservationKey identifies an attempt of the gateway p among the attempts of all gateways.
--- a/agent/executor/executor_test.go
+++ b/agent/executor/executor_test.go
@@ -1,10 +1,15 @@
 package executor
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pistachiovane/pistachiovane/service/fleet"
 )
 
@@ -36,3 +41,32 @@
 		t.Errorf("got load %+v, want no reservation (8 pieces free)", l)
 	}
 }
+
+// TestRequestIsBlamedForCrashOfAnother guards against crashes that count against a request which was not running: its
+// engine was down already, or only the connection to the gateway broke.
+func TestRequestIsBlamedForCrashOfAnother(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	e := New(Options{
+		EngineURL: "http://" + closed.Addr().String(), DecodeSlots: 4, MemoryPieces: 8, ReservationTimeout: time.Hour,
+	}, http.DefaultClient)
+	r := fleet.StageRequest{Attempt: fleet.Attempt{RequestID: 1}}
+	if got := e.Prefill(context.Background(), &fleet.Peer{Name: "gw-1"}, r).Outcome; got != fleet.OutcomeEndpointUnreachable {
+		t.Errorf("got outcome %s of a prefill at an engine that is down, want %s", got, fleet.OutcomeEndpointUnreachable)
+	}
+	for _, c := range []struct {
+		err  error
+		want fleet.Outcome
+	}{
+		{GatewayError{Cause: io.ErrClosedPipe}, fleet.OutcomeAttemptLost},
+		{errors.WithStack(StatusError{Status: http.StatusInternalServerError}), fleet.OutcomeAttemptLost},
+		{errors.Wrap(io.ErrUnexpectedEOF, "read decode stream"), fleet.OutcomeEndpointCrashed},
+	} {
+		if got := outcomeOf(context.Background(), c.err); got != c.want {
+			t.Errorf("%v: got outcome %s, want %s", c.err, got, c.want)
+		}
+	}
+}
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -21,6 +21,10 @@
 )
 
 const (
+	// crashReportTime is how long a change of a crash record is repeated in all messages to peers.
+	crashReportTime = time.Minute
+	// crashRecordsPerMessage is how many of the other crash records a message contains.
+	crashRecordsPerMessage = 64
 	// tickInterval is the time between two checks of the queued requests.
 	tickInterval = 50 * time.Millisecond
 	// reserveTimeout is the longest wait for an agent's answer to a reservation.
@@ -169,11 +173,12 @@
 	return len(c.generations)
 }
 
-// CrashRecords returns this gateway's records of requests that crashed endpoints, to be sent to peers.
-func (c *Coordinator) CrashRecords() []quarantiner.CrashRecord {
+// NextCrashRecords returns records of requests that crashed endpoints, to be sent to peers: those that changed recently
+// and others in turn.
+func (c *Coordinator) NextCrashRecords() []quarantiner.CrashRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.quarantiner.CrashRecords(c.now())
+	return c.quarantiner.NextCrashRecords(crashReportTime, crashRecordsPerMessage, c.now())
 }
 
 // MergeCrashRecords adds the crash records received from a peer.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,8 +40,9 @@
 )
 
 const (
-	// crashRecordLifetime is how long a gateway remembers that a request was running when an endpoint crashed.
-	crashRecordLifetime = 2 * time.Minute
+	// crashRecordLifetime is how long a gateway remembers that a request was running when an endpoint crashed, unless the
+	// request completes.
+	crashRecordLifetime = 24 * time.Hour
 	// maxCrashRecords is the largest number of requests that are remembered in this way.
 	maxCrashRecords = 10000
 	// retryRatio is how many retries are allowed for each first attempt. retryBurst is how many unused ones may be
--- a/gateway/gossiper/gossiper.go
+++ b/gateway/gossiper/gossiper.go
@@ -271,9 +271,9 @@
 	g.coordinator.MergeCrashRecords(fleet.DecodeCrashRecords(m.CrashRecords))
 }
 
-// newMessage returns a gossip message with the versions of the lists and the crash records of this gateway.
+// newMessage returns a gossip message with the versions of the lists and some crash records of this gateway.
 func (g *Gossiper) newMessage() fleet.GossipMessage {
-	m := fleet.GossipMessage{CrashRecords: fleet.EncodeCrashRecords(g.coordinator.CrashRecords())}
+	m := fleet.GossipMessage{CrashRecords: fleet.EncodeCrashRecords(g.coordinator.NextCrashRecords())}
 	m.PlansVersion, m.UsesVersion, m.VMsVersion = g.configurer.Versions()
 	return m
 }
--- a/internal/soak/verifier/verifier_test.go
+++ b/internal/soak/verifier/verifier_test.go
@@ -112,7 +112,7 @@
 			h.Shutdowns = []verifier.Shutdown{{StartedAt: at(-10), EndedAt: at(1000)}}
 			h.Requests[0].Status = 0
 		},
-		"limits": func(h *verifier.History) { h.Requests[0].ChargedTokens = 300 },
+		"limits":                 func(h *verifier.History) { h.Requests[0].ChargedTokens = 300 },
 		"crashing requests stop": func(h *verifier.History) { addCrashes(h, 4) },
 		"repeats": func(h *verifier.History) {
 			for i := range 3 {
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -44,11 +44,10 @@
 	// OutcomeAttemptLost means that the attempt ended without success, and not by a crash: its reservation had expired,
 	// the engine refused the work, the work was cancelled or an order had an old fencing token.
 	OutcomeAttemptLost Outcome = "lost"
-	// OutcomeEndpointCrashed means that the connection to the engine could not be opened, or that it ended without a
-	// complete response.
+	// OutcomeEndpointCrashed means that the connection to the engine ended without a complete response.
 	OutcomeEndpointCrashed Outcome = "crashed"
-	// OutcomeEndpointUnreachable means that a prefill was not started: the agent is draining, its prefill queue is full or
-	// the gateway has disconnected.
+	// OutcomeEndpointUnreachable means that nothing was started: the connection to the engine could not be opened or, for
+	// a prefill, the agent is draining, its prefill queue is full or the gateway has disconnected.
 	OutcomeEndpointUnreachable Outcome = "unreachable"
 )
 
