Crash records no longer flood the links between gateways; an endpoint found down is ejected

A change is now sent three times by the gateway that made it, at most eight in a message, and one other record in every fourth message.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -21,10 +21,9 @@
 )
 
 const (
-	// crashReportTime is how long a change of a crash record is repeated in all messages to peers.
-	crashReportTime = time.Minute
-	// crashRecordsPerMessage is how many of the other crash records a message contains.
-	crashRecordsPerMessage = 64
+	// crashRecordsPerMessage is how many crash records a message to a peer contains, in turn. A message goes to one peer,
+	// which passes its content on, so changes have no precedence.
+	crashRecordsPerMessage = 256
 	// tickInterval is the time between two checks of the queued requests.
 	tickInterval = 50 * time.Millisecond
 	// reserveTimeout is the longest wait for an agent's answer to a reservation.
@@ -173,12 +172,11 @@
 	return len(c.generations)
 }
 
-// NextCrashRecords returns records of requests that crashed endpoints, to be sent to peers: those that changed recently
-// and others in turn.
+// NextCrashRecords returns records of requests that crashed endpoints, in turn, to be sent to a peer.
 func (c *Coordinator) NextCrashRecords() []quarantiner.CrashRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.quarantiner.NextCrashRecords(crashReportTime, crashRecordsPerMessage, c.now())
+	return c.quarantiner.NextCrashRecords(crashRecordsPerMessage, crashRecordsPerMessage, c.now())
 }
 
 // MergeCrashRecords adds the crash records received from a peer.
--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -206,11 +206,10 @@
 	return t.quarantine.CrashRecords(now)
 }
 
-// NextCrashRecords returns the records that have changed within maxAge and, in turn, others of the remaining ones.
-func (t *CrashTracker) NextCrashRecords(
-	maxAge time.Duration, others int, now time.Duration,
-) []quarantiner.CrashRecord {
-	return t.quarantine.NextCrashRecords(maxAge, others, now)
+// NextCrashRecords returns the records for the next message to the peers: at most maxChanges that this gateway has changed
+// recently, and at most maxOthers in turn.
+func (t *CrashTracker) NextCrashRecords(maxChanges, maxOthers int, now time.Duration) []quarantiner.CrashRecord {
+	return t.quarantine.NextCrashRecords(maxChanges, maxOthers, now)
 }
 
 // Merge adds the crash records received from a peer.
@@ -239,7 +238,7 @@
 	suspects := t.suspects[endpoint]
 	delete(t.suspects, endpoint)
 	for _, s := range suspects {
-		t.count(endpoint, s, now)
+		t.quarantine.RecordEarlierCrash(s.fingerprint, endpoint, s.disconnectedAt, now)
 	}
 	// All suspects count before any of them is judged.
 	for _, s := range suspects {
@@ -259,13 +258,6 @@
 	t.countAll(endpoint, now)
 }
 
-// count records a crash in the quarantine, with the time at which the connection broke.
-func (t *CrashTracker) count(endpoint string, s suspect, now time.Duration) {
-	t.quarantine.Merge([]quarantiner.CrashRecord{{
-		Fingerprint: s.fingerprint, Crashes: []quarantiner.Crash{{Endpoint: endpoint, Age: now - s.disconnectedAt}},
-	}}, now)
-}
-
 // decideAll records the same decision on all suspects of an endpoint and removes them.
 func (t *CrashTracker) decideAll(endpoint string, d Decision, now time.Duration) {
 	for _, s := range t.suspects[endpoint] {
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -27,7 +27,7 @@
 	switch {
 	case isConnectionLost(c.err):
 		if f.suspect(j, endpointID) {
-			f.probe(endpointID, address)
+			f.probe(j, endpointID, address)
 		}
 	case isRefusedConnection(c.err), c.response != nil && c.response.Misdirected:
 		f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
@@ -55,9 +55,13 @@
 	return recorded
 }
 
-// probe tells the crash tracker whether an endpoint refuses or accepts a connection.
-func (f *Forwarder) probe(endpointID, address string) {
+// probe tells the crash tracker whether an endpoint refuses or accepts a connection. One that refuses it is ejected, here
+// and at the peers, before other requests are sent to it.
+func (f *Forwarder) probe(j *job, endpointID, address string) {
 	err := f.prober.Probe(address)
+	if isRefusedConnection(err) && j.engine != nil {
+		f.controller.ReportFailure(endpointID)
+	}
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 		switch {
 		case err == nil:
@@ -87,10 +91,12 @@
 		v := f.controller.DecideQuarantine(j.fingerprint)
 		j.quarantineTime = v.RetryAfter
 		switch {
-		case v.Refused, v.RetryAfter > f.timeLeft(j):
+		case v.Refused:
 			return outcomeQuarantined
 		case v.RetryAfter == 0:
 			return outcomeAnswered
+		case v.RetryAfter > f.timeLeft(j):
+			return outcomeQuarantined
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -316,3 +316,51 @@
 		t.Errorf("got %d crashes counted, want those of the endpoints that are gone; log:\n%s", n, f.log)
 	}
 }
+
+// The endpoint of a broken stream is known to be down after the probe. Other requests must not be sent there.
+func TestRequestIsSentToCrashedEndpoint(t *testing.T) {
+	f := newTestForwarder(t)
+	var down, reserved string
+	f.endpoints.run = func(address string) (*Response, error) {
+		if down == "" {
+			down = address
+			return nil, errLost
+		}
+		return answer("id: 1\n\n", 200), nil
+	}
+	f.endpoints.connect = func(address string) error {
+		if address == down {
+			return errRefused
+		}
+		return nil
+	}
+	f.endpoints.reserve = func(address string) (string, error) {
+		if down != "" {
+			reserved += address + " "
+		}
+		return "r", nil
+	}
+	f.send("/draft/x")
+	for range 6 {
+		f.send("/draft/y")
+	}
+	if strings.Contains(reserved, down) || reserved == "" {
+		t.Errorf("got reservations at %s, want none at %s, which is down", reserved, down)
+	}
+}
+
+// A request whose deadline passes while it is served is no reason to say that it crashes endpoints.
+func TestExpiredRequestIsRefusedAsCrashing(t *testing.T) {
+	f := newTestForwarder(t)
+	f.endpoints.prefill = func(address string) (string, *Response, error) {
+		time.Sleep(60 * time.Millisecond)
+		return address + "/k", answer("", 200), nil
+	}
+	f.endpoints.run = func(string) (*Response, error) { return nil, errLost }
+	r := f.request("/draft/x")
+	r.TimeBudget = 50 * time.Millisecond
+	f.Serve(context.Background(), httptest.NewRecorder(), r)
+	if strings.Contains(f.log.String(), reasonCrashes) {
+		t.Errorf("got a quarantine, want none; log:\n%s", f.log)
+	}
+}
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -9,12 +9,13 @@
 )
 
 const (
-	// crashReportTime is the time for which a change of a crash record is repeated in messages.
-	crashReportTime = 2 * time.Second
-	// crashRecordsPerMessage is how many of the other crash records a message contains, in turn, so that gateways that
-	// missed a change learn of it. A message for a gateway that has just started contains crashRecordsForNewPeer.
-	crashRecordsPerMessage = 2
-	crashRecordsForNewPeer = 128
+	// maxCrashChangesPerMessage limits the crash records in a message that this gateway has changed. When an endpoint
+	// crashes, each gateway has records of the requests that it ran there.
+	maxCrashChangesPerMessage = 8
+	// One of every messagesPerCrashRecord messages contains one of the other crash records, in turn, so that gateways that
+	// missed a change learn of it. Messages for a gateway that has just started contain crashRecordsForNewPeer.
+	messagesPerCrashRecord = 4
+	crashRecordsForNewPeer = 8
 )
 
 // UpdateCrashTracker calls a function on the crash tracker under the lock.
@@ -53,7 +54,20 @@
 	c.logCrashOutcomes(now)
 }
 
-// encodeCrashRecords converts crash records for a message. Ages become ms.
+// nextCrashRecords returns the crash records for the next message. The lock must be held.
+func (c *Controller) nextCrashRecords(hasNewPeer bool, now time.Duration) []broadcaster.CrashRecord {
+	others := 0
+	if c.composedMessages%messagesPerCrashRecord == 0 {
+		others = 1
+	}
+	if hasNewPeer {
+		others = crashRecordsForNewPeer
+	}
+	return encodeCrashRecords(c.crashTracker.NextCrashRecords(maxCrashChangesPerMessage, others, now))
+}
+
+// encodeCrashRecords converts crash records for a message. Ages become ms. The list of all crashes is left out if it would
+// add nothing to the endpoint and the age.
 func encodeCrashRecords(records []quarantiner.CrashRecord) []broadcaster.CrashRecord {
 	var out []broadcaster.CrashRecord
 	for _, r := range records {
@@ -69,6 +83,9 @@
 			}
 			w.Endpoints = append(w.Endpoints, c.Endpoint)
 		}
+		if len(r.Crashes) == 1 && !r.Crashes[0].Cleared {
+			w.Crashes = nil
+		}
 		out = append(out, w)
 	}
 	return out
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -27,11 +27,7 @@
 		m.EndpointRequests[id] = [2]int64{int64(report.Requests), report.Age.Milliseconds()}
 	}
 	c.logCrashOutcomes(now)
-	otherCrashRecords := crashRecordsPerMessage
-	if includeAvailableTokens {
-		otherCrashRecords = crashRecordsForNewPeer
-	}
-	m.CrashRecords = encodeCrashRecords(c.crashTracker.NextCrashRecords(crashReportTime, otherCrashRecords, now))
+	m.CrashRecords = c.nextCrashRecords(includeAvailableTokens, now)
 	maxAge := totalsReportTime
 	if c.composedMessages%messagesPerFullTotals == 0 {
 		maxAge, m.AllAccounts = now, true
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -19,6 +19,8 @@
 	sameCrashInterval = time.Second
 	// maxStoredCrashes limits the crashes that are stored for one request.
 	maxStoredCrashes = 8
+	// sendsPerChange is how often a change of a record is sent to the peers, because messages may be lost.
+	sendsPerChange = 3
 )
 
 // Fingerprint is a digest of the client account and body of a request. Repetitions of a request have the same
@@ -54,16 +56,17 @@
 	// verdict is what the records say. It is nil if they have changed since, and valid until verdictExpiresAt.
 	verdict          *verdict
 	verdictExpiresAt time.Duration
-	// lastSent is the fingerprint of the last record that NextCrashRecords returned for its turn.
-	lastSent Fingerprint
+	// lastChange and lastOther are the fingerprints of the last records that NextCrashRecords returned because of a change
+	// and in their turn.
+	lastChange, lastOther Fingerprint
 }
 
 // record is the stored form of a CrashRecord.
 type record struct {
 	// crashes are in no particular order.
 	crashes []crash
-	// changedAt is when the record was last changed.
-	changedAt time.Duration
+	// unsent is how often the record is still to be sent to the peers because of a change at this process.
+	unsent int
 }
 
 // crash is the stored form of a Crash.
@@ -91,7 +94,14 @@
 // RecordCrash records that the request was running at an endpoint when it crashed. If the limit of records is reached,
 // another record is deleted: one of a request that has completed since, else the one with the oldest crash.
 func (q *Quarantiner) RecordCrash(f Fingerprint, endpoint string, now time.Duration) {
-	q.add(f, crash{endpoint: endpoint, at: now}, now)
+	q.RecordEarlierCrash(f, endpoint, now, now)
+}
+
+// RecordEarlierCrash is RecordCrash for a crash at the given time, of which this process has learned only now.
+func (q *Quarantiner) RecordEarlierCrash(f Fingerprint, endpoint string, at, now time.Duration) {
+	if r, changed := q.add(f, crash{endpoint: endpoint, at: at}, now); changed {
+		r.unsent = sendsPerChange
+	}
 }
 
 // Clear records that a request has completed, so that it was not the cause of the crashes so far.
@@ -100,12 +110,13 @@
 	if r == nil {
 		return
 	}
+	if r.isCleared() {
+		return
+	}
 	for i := range r.crashes {
-		if !r.crashes[i].cleared {
-			r.crashes[i].cleared = true
-			q.markChanged(r, now)
-		}
+		r.crashes[i].cleared = true
 	}
+	r.unsent, q.verdict = sendsPerChange, nil
 }
 
 // Merge adds the crashes that a peer sent.
@@ -119,9 +130,10 @@
 	}
 }
 
-// add stores a crash. Of two reports of the same crash the earlier time is kept, because reports of peers are delayed.
-func (q *Quarantiner) add(f Fingerprint, c crash, now time.Duration) {
-	r := q.lookup(f, now)
+// add stores a crash and returns its record, and whether that changed. Of two reports of the same crash the earlier time
+// is kept, because reports of peers are delayed.
+func (q *Quarantiner) add(f Fingerprint, c crash, now time.Duration) (r *record, changed bool) {
+	r = q.lookup(f, now)
 	if r == nil {
 		q.makeRoom()
 		r = &record{}
@@ -131,22 +143,17 @@
 		if known := &r.crashes[i]; known.endpoint == c.endpoint && (known.at-c.at).Abs() < sameCrashInterval {
 			known.at = min(known.at, c.at)
 			if c.cleared && !known.cleared {
-				known.cleared = true
-				q.markChanged(r, now)
+				known.cleared, q.verdict = true, nil
 			}
-			return
+			return r, false
 		}
 	}
 	if len(r.crashes) >= maxStoredCrashes {
 		r.crashes = slices.Delete(r.crashes, 0, 1)
 	}
 	r.crashes = append(r.crashes, c)
-	q.markChanged(r, now)
-}
-
-func (q *Quarantiner) markChanged(r *record, now time.Duration) {
-	r.changedAt = now
 	q.verdict = nil
+	return r, true
 }
 
 // CrashRecords returns all records that have not expired, ordered by fingerprint, to be sent to peers.
@@ -160,29 +167,41 @@
 	return out
 }
 
-// NextCrashRecords returns the records that have changed within maxAge and, in turn, others of the remaining ones, so
-// that peers learn of changes at once and of everything in time.
-func (q *Quarantiner) NextCrashRecords(maxAge time.Duration, others int, now time.Duration) []CrashRecord {
+// NextCrashRecords returns the records for the next message to the peers: at most maxChanges of those that this process
+// has changed and not sent sendsPerChange times since, and at most maxOthers of the remaining ones, each in turn. Records
+// of requests that have completed are sent only as changes.
+func (q *Quarantiner) NextCrashRecords(maxChanges, maxOthers int, now time.Duration) []CrashRecord {
 	if len(q.records) == 0 {
 		return nil
 	}
-	var out []CrashRecord
 	fingerprints := q.fingerprints()
-	first, _ := slices.BinarySearch(fingerprints, q.lastSent+1)
+	changes := q.nextRecords(fingerprints, &q.lastChange, maxChanges, now, func(r *record) bool { return r.unsent > 0 })
+	others := q.nextRecords(fingerprints, &q.lastOther, maxOthers, now, func(r *record) bool {
+		return r.unsent == 0 && !r.isCleared()
+	})
+	for _, c := range changes {
+		q.records[c.Fingerprint].unsent--
+	}
+	return append(changes, others...)
+}
+
+// nextRecords returns at most limit of the selected records, beginning after the fingerprint last, and sets last to that of
+// the last one.
+func (q *Quarantiner) nextRecords(
+	fingerprints []Fingerprint, last *Fingerprint, limit int, now time.Duration, selected func(r *record) bool,
+) []CrashRecord {
+	var out []CrashRecord
+	first, _ := slices.BinarySearch(fingerprints, *last+1)
 	for i := range fingerprints {
 		f := fingerprints[(first+i)%len(fingerprints)]
 		r := q.lookup(f, now)
-		if r == nil {
-			continue
+		if len(out) >= limit {
+			break
 		}
-		if now-r.changedAt > maxAge {
-			if others == 0 {
-				continue
-			}
-			others--
-			q.lastSent = f
+		if r != nil && selected(r) {
+			out = append(out, r.export(f, now))
+			*last = f
 		}
-		out = append(out, r.export(f, now))
 	}
 	return out
 }
--- a/pkg/quarantiner/quarantiner_test.go
+++ b/pkg/quarantiner/quarantiner_test.go
@@ -131,6 +131,34 @@
 	}
 }
 
+// A domain that crashes with many requests must not flood the links between gateways: with every record in every message,
+// 25 gateways filled theirs for ten seconds (grown Fosseway, scale-2).
+func TestChangesFloodMessages(t *testing.T) {
+	from, to := quarantiner.New(retention, 1000), quarantiner.New(retention, 1000)
+	const requests, messages = 60, 40
+	for f := range quarantiner.Fingerprint(requests) {
+		crashAt(from, "a", 0, f)
+	}
+	sent := 0
+	for i := range messages {
+		now := time.Duration(i) * 100 * time.Millisecond
+		records := from.NextCrashRecords(8, 1, now)
+		if sent += len(records); len(records) > 9 {
+			t.Fatalf("message %d: got %d records, want at most 9", i, len(records))
+		}
+		to.Merge(records, now)
+		if relayed := to.NextCrashRecords(8, 1, now); len(relayed) > 1 {
+			t.Fatalf("message %d: the receiver sends %d records of others, want at most 1", i, len(relayed))
+		}
+	}
+	if got := len(to.CrashRecords(4 * time.Second)); got != requests {
+		t.Errorf("got %d records at the peer, want %d", got, requests)
+	}
+	if sent > 3*requests+messages {
+		t.Errorf("got %d records in %d messages, want each change at most three times", sent, messages)
+	}
+}
+
 // Gateways that exchange all records must decide the same, whatever the order, delay and repetition of messages.
 func TestGatewaysDecideDifferently(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -151,7 +179,7 @@
 				}
 			}
 			from, to := gateways[rapid.IntRange(0, 2).Draw(t, "from")], gateways[rapid.IntRange(0, 2).Draw(t, "to")]
-			to.Merge(from.NextCrashRecords(2*time.Second, 1, now), now+5*time.Millisecond)
+			to.Merge(from.NextCrashRecords(8, 1, now), now+5*time.Millisecond)
 		}
 		for range 2 {
 			for _, from := range gateways {
