Changes of the endpoint list are sent a few times, and a digest shows what was missed

A change that was read from the store is sent in four messages, one that was learned of a peer in one message of eight gateways in the mean. Instead of repeating all changes, each message has a digest of the list: a gateway with the same list knows that it has all changes up to the time for which the sender vouches. One whose list differs reads the store as before. Messages of older builds are understood as before.

--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -137,11 +137,15 @@
 	FencingToken int64 `json:"fence,omitempty"`
 	// Usages holds the endpoint time that recent generations of the sender used, by service.
 	Usages map[string]Usage `json:"use,omitempty"`
-	// EndpointChanges holds the latest changes of the endpoint list.
+	// EndpointChanges holds changes of the endpoint list that the sender learned recently. Each is sent a few times.
 	EndpointChanges []EndpointChange `json:"list,omitempty"`
-	// ListAgeMs is the time in ms since the store last confirmed to the sender that it knows all changes of the endpoint
-	// list. It is nil if EndpointChanges may lack one that the sender learned recently.
+	// ListAgeMs is sent by older builds, which repeat all changes for a while: the time in ms since the store last
+	// confirmed to the sender that it knows all changes of the endpoint list. Otherwise it is nil.
 	ListAgeMs *int64 `json:"listage,omitempty"`
+	// ListDigest is the digest of the sender's endpoint list. ListDigestAgeMs is the time in ms since the store last
+	// confirmed to the sender that it knows all changes of the list. It is nil if the sender has no list.
+	ListDigest      uint64 `json:"listsum,omitempty"`
+	ListDigestAgeMs *int64 `json:"listsumage,omitempty"`
 	// PeerAddresses holds the addresses of some gateways that the sender knows.
 	PeerAddresses []string `json:"known,omitempty"`
 }
@@ -180,6 +184,8 @@
 		return errors.Errorf("state message of %s has a configuration of age %d ms", m.From, m.ConfigAgeMs)
 	case m.ListAgeMs != nil && *m.ListAgeMs < 0:
 		return errors.Errorf("state message of %s has an endpoint list of age %d ms", m.From, *m.ListAgeMs)
+	case m.ListDigestAgeMs != nil && *m.ListDigestAgeMs < 0:
+		return errors.Errorf("state message of %s has a digest of age %d ms", m.From, *m.ListDigestAgeMs)
 	case m.FleetSize < 0 || m.FleetSize > maxFleetSize:
 		return errors.Errorf("state message of %s has %d gateways", m.From, m.FleetSize)
 	case m.FleetSizeMs < 0 || m.FleetSizeMs > maxFleetSizeTime.Milliseconds():
--- a/internal/fleet/confirmer/confirmer.go
+++ b/internal/fleet/confirmer/confirmer.go
@@ -1,13 +1,13 @@
 // Package confirmer tracks up to which time a gateway knows all changes of the endpoint list. It learns them from the
-// store and from peers, which repeat each change in their messages for a while. A gateway that heard no peer for longer
-// has missed changes and must read the list itself.
+// store and from peers, which send each change a few times and a digest of their list in every message. A gateway whose
+// list differs for too long has missed a change and must read the list itself.
 package confirmer
 
 import "time"
 
 // Options configures a Confirmer.
 type Options struct {
-	// RepeatTime is the time for which peers repeat a change in their messages.
+	// RepeatTime is the time for which peers of older builds repeat a change in their messages.
 	RepeatTime time.Duration
 	// MaxAge is the age of the list from which it must be read. It must be less than RepeatTime.
 	MaxAge time.Duration
@@ -34,7 +34,12 @@
 	c.currentAt = max(c.currentAt, at)
 }
 
-// ConfirmFromPeer records a message that contains all changes its sender learned within RepeatTime before sentAt, and whose
+// ConfirmEqualList records that a peer, which knew all changes up to the time at, has the same list.
+func (c *Confirmer) ConfirmEqualList(at time.Duration) {
+	c.currentAt = max(c.currentAt, at)
+}
+
+// ConfirmFromPeer records a message of an older build, which has no digest of the list. It contains all changes its sender learned within RepeatTime before sentAt, and whose
 // sender knew all changes up to the time at. It confirms nothing if changes may have been missed before: those are no
 // longer in the message.
 func (c *Confirmer) ConfirmFromPeer(sentAt, at time.Duration) {
--- a/internal/fleet/confirmer/confirmer_test.go
+++ b/internal/fleet/confirmer/confirmer_test.go
@@ -41,6 +41,15 @@
 	}
 }
 
+// A peer with the same list confirms it, whatever messages were missed before.
+func TestEqualListConfirmsNothingAfterCut(t *testing.T) {
+	c := confirmer.New(options, 0)
+	c.ConfirmEqualList(9 * time.Second)
+	if age := c.Age(10 * time.Second); age != time.Second {
+		t.Errorf("got age %v after a peer confirmed an equal list as of 1s ago, want 1s", age)
+	}
+}
+
 // While nobody confirms the list it must be read again and again, but no more often than allowed.
 func TestListIsReadTooOften(t *testing.T) {
 	c := confirmer.New(options, 0)
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -3,8 +3,11 @@
 package lister
 
 import (
+	"fmt"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Endpoint is one incarnation of an endpoint as the platform lists it. It is encoded in messages between gateways and
@@ -43,13 +46,17 @@
 type Lister struct {
 	// entries holds the listed endpoints, and the removed ones for a while so that older entries cannot restore them.
 	entries map[string]Entry
-	// changedAt holds, by key, the time of the latest change. It selects the changes to send to peers.
+	// changedAt holds, by key, the time of the latest change.
 	changedAt map[string]time.Duration
+	// unsent holds, by key, how often the latest change is still to be sent to peers.
+	unsent map[string]int
+	// digest combines the digests of all listed endpoints.
+	digest uint64
 }
 
 // New returns an empty Lister.
 func New() *Lister {
-	return &Lister{entries: map[string]Entry{}, changedAt: map[string]time.Duration{}}
+	return &Lister{entries: map[string]Entry{}, changedAt: map[string]time.Duration{}, unsent: map[string]int{}}
 }
 
 // Apply stores an entry unless a newer one is known, and returns whether the list of endpoints changed. A new revision
@@ -66,10 +73,25 @@
 	if !known && e.Removed {
 		return false
 	}
+	l.digest ^= old.digest() ^ e.digest()
 	l.changedAt[e.Key] = now
 	return true
 }
 
+// digest returns a digest of the endpoint of an entry, or zero if the entry was removed or never existed.
+func (e Entry) digest() uint64 {
+	if e.Removed || e.Key == "" {
+		return 0
+	}
+	return xxhash.Sum64String(fmt.Sprintf("%q %+v", e.Key, e.Endpoint))
+}
+
+// Digest returns a digest of the list of endpoints. Lists with the same endpoints have the same digest, whatever their
+// revisions.
+func (l *Lister) Digest() uint64 {
+	return l.digest
+}
+
 // Keys returns the keys of all entries that are not removed, in no particular order.
 func (l *Lister) Keys() []string {
 	var out []string
@@ -92,28 +114,44 @@
 	return out
 }
 
-// ForgetChanges excludes all changes so far from RecentChanges. It is called after the first read of the list, which
-// peers need not be sent because each gateway reads the whole list at its start.
-func (l *Lister) ForgetChanges() {
-	clear(l.changedAt)
+// Send makes NextChanges return the latest change of a key the given number of times.
+func (l *Lister) Send(key string, times int) {
+	l.unsent[key] = times
+}
+
+// NextChanges returns at most maxEntries entries for the next message to the peers: first those that were returned the
+// least often, of these the latest change first.
+func (l *Lister) NextChanges(maxEntries int) []Entry {
+	keys := make([]string, 0, len(l.unsent))
+	for key := range l.unsent {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		if l.unsent[keys[i]] != l.unsent[keys[j]] {
+			return l.unsent[keys[i]] > l.unsent[keys[j]]
+		}
+		return l.changedAt[keys[i]] > l.changedAt[keys[j]]
+	})
+	keys = keys[:min(maxEntries, len(keys))]
+	out := make([]Entry, 0, len(keys))
+	for _, key := range keys {
+		out = append(out, l.entries[key])
+		if l.unsent[key]--; l.unsent[key] == 0 {
+			delete(l.unsent, key)
+		}
+	}
+	return out
 }
 
-// RecentChanges returns at most maxEntries entries that changed within maxAge, the latest first. It also drops the
-// removed entries whose change is older than removedRetention.
-func (l *Lister) RecentChanges(maxAge, removedRetention, now time.Duration, maxEntries int) []Entry {
-	var out []Entry
+// DropRemoved drops the removed entries whose change is older than retention.
+func (l *Lister) DropRemoved(retention, now time.Duration) {
 	for key, at := range l.changedAt {
-		if now-at <= maxAge {
-			out = append(out, l.entries[key])
+		if now-at <= retention {
 			continue
 		}
-		if now-at > removedRetention {
-			delete(l.changedAt, key)
-			if l.entries[key].Removed {
-				delete(l.entries, key)
-			}
+		delete(l.changedAt, key)
+		if l.entries[key].Removed {
+			delete(l.entries, key)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return l.changedAt[out[i].Key] > l.changedAt[out[j].Key] })
-	return out[:min(maxEntries, len(out))]
 }
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -73,7 +73,11 @@
 	// two answers is kept.
 	minReaderWait    = 300 * time.Millisecond
 	readerWaitMargin = 200 * time.Millisecond
-	// changeGossipPeriod is how long a change of the endpoint list is sent to peers.
+	// changeSends is how often a gateway sends a change of the endpoint list that it has read from the store, because
+	// messages may be lost. changeRelays is how many gateways, in the mean, pass on a change that they learned of a peer.
+	changeSends  = 4
+	changeRelays = 8
+	// changeGossipPeriod is how long older builds repeat a change of the endpoint list.
 	changeGossipPeriod = 4 * time.Second
 	// maxTransitTime is the longest time that the fastest message of a peer takes.
 	maxTransitTime = 200 * time.Millisecond
@@ -268,7 +272,8 @@
 	d.activateListChanges(changed, "store")
 	if d.listReadAt == 0 {
 		d.listReadAt = now
-		d.lister.ForgetChanges()
+	} else {
+		d.sendChanges(changed, true)
 	}
 	d.listConfirmedAt = u.CurrentAt
 	d.listConfirmer.ConfirmFromStore(u.CurrentAt)
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -51,11 +51,11 @@
 	return m, busy
 }
 
-// composeList adds the latest changes of the endpoint list to a message, and the age of the list if these are all changes
-// of the last changeGossipPeriod. The caller must hold mu.
+// composeList adds the next changes of the endpoint list to a message, and the digest and age of the list. The caller must
+// hold mu.
 func (d *Daemon) composeList(m *broadcaster.Message, now time.Duration) {
-	changes := d.lister.RecentChanges(changeGossipPeriod, removalRetention, now, maxChangesPerMessage)
-	for _, c := range changes {
+	d.lister.DropRemoved(removalRetention, now)
+	for _, c := range d.lister.NextChanges(maxChangesPerMessage) {
 		entry := broadcaster.EndpointChange{Key: c.Key, Revision: c.Revision, Removed: c.Removed}
 		if !c.Removed {
 			endpoint := c.Endpoint
@@ -63,11 +63,26 @@
 		}
 		m.EndpointChanges = append(m.EndpointChanges, entry)
 	}
-	if d.listReadAt == 0 || now-d.listReadAt < changeGossipPeriod || len(changes) == maxChangesPerMessage {
+	if d.listReadAt == 0 {
 		return
 	}
 	age := (now - d.listConfirmedAt).Milliseconds()
-	m.ListAgeMs = &age
+	m.ListDigest, m.ListDigestAgeMs = d.lister.Digest(), &age
+}
+
+// sendChanges makes messages to the peers contain changes of the endpoint list. Changes that were read from the store are
+// sent several times. Those that a peer sent are passed on by a few gateways, for gateways that the peer does not reach.
+// The caller must hold mu.
+func (d *Daemon) sendChanges(changed []lister.Entry, fromStore bool) {
+	times := changeSends
+	if !fromStore {
+		times = 1
+	}
+	for _, c := range changed {
+		if fromStore || rand.N(d.broadcaster.GatewayCount()) < changeRelays {
+			d.lister.Send(c.Key, times)
+		}
+	}
 }
 
 // receiveList applies the changes of the endpoint list in a message of a peer. The caller must hold mu.
@@ -85,8 +100,12 @@
 		}
 	}
 	d.activateListChanges(changed, m.From)
+	d.sendChanges(changed, false)
+	sentAt := now - m.TransitTime
+	if m.ListDigestAgeMs != nil && m.ListDigest == d.lister.Digest() {
+		d.listConfirmer.ConfirmEqualList(sentAt - time.Duration(*m.ListDigestAgeMs)*time.Millisecond)
+	}
 	if m.ListAgeMs != nil {
-		sentAt := now - m.TransitTime
 		d.listConfirmer.ConfirmFromPeer(sentAt, sentAt-time.Duration(*m.ListAgeMs)*time.Millisecond)
 	}
 }
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -20,7 +20,7 @@
 	// maxStoredCrashes limits the crashes that are stored for one request.
 	maxStoredCrashes = 8
 	// sendsPerChange is how often a change of a record is sent to the peers, because messages may be lost.
-	sendsPerChange = 3
+	sendsPerChange = 4
 )
 
 // Fingerprint is a digest of the client account and body of a request. Repetitions of a request have the same
