--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -35,6 +35,14 @@
 	staleKeyRatio = 0.05
 )
 
+// The routes of every configuration.
+const (
+	routeDraft = "draft"
+	routeNote  = "note"
+	routeBook  = "book"
+	routeRead  = "read"
+)
+
 // lastRequestNumber makes the IDs of requests unique within the process.
 var lastRequestNumber atomic.Uint64
 
@@ -80,7 +88,7 @@
 		if c.apiKey == "" || c.rng.Float64() > staleKeyRatio {
 			c.apiKey = c.testbed.pickKey(c.account, c.rng)
 		}
-		route := []string{"draft", "note", "book", "book", "read", "read"}[c.rng.IntN(6)]
+		route := []string{routeDraft, routeNote, routeBook, routeBook, routeRead, routeRead}[c.rng.IntN(6)]
 		body := ""
 		if c.rng.Float64() < repeatedRatio {
 			body = repeatedBody
@@ -114,11 +122,11 @@
 	q.Header.Set(requestIDHeader, r.ID)
 	q.Header.Set(credentialHeader, c.apiKey)
 	q.Header.Set(timeBudgetHeader, strconv.FormatInt(timeBudget.Milliseconds(), 10))
-	isStream := route == "draft" || route == "note"
+	isStream := route == routeDraft || route == routeNote
 	if isStream {
 		q.Header.Set(tokenCountsHeader, "100,100")
 	}
-	if route == "draft" || route == "read" {
+	if route == routeDraft || route == routeRead {
 		r.Kind = verifier.Retryable
 	}
 	if !c.neverCancels && c.rng.Float64() < cancelRatio {
--- a/cmd/soak/crashes.go
+++ b/cmd/soak/crashes.go
@@ -41,7 +41,7 @@
 
 // runCrasher sends requests that crash endpoints to random gateways, to each route in turn, until stop is closed.
 func (c *caller) runCrasher(stop <-chan struct{}) {
-	routes := []string{"note", "draft", "read", "book"}
+	routes := []string{routeNote, routeDraft, routeRead, routeBook}
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -51,7 +51,7 @@
 		c.gateway = c.testbed.pickGateway(c.rng)
 		c.apiKey = c.testbed.pickKey(c.account, c.rng)
 		route, body := routes[n%len(routes)], crashingBody
-		if route == "note" {
+		if route == routeNote {
 			body = prefillCrashingBody
 		}
 		r := c.send(route, body)
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -187,8 +187,8 @@
 	content, err := json.Marshal(map[string]any{
 		"version": b.version,
 		"routes": []route{
-			newRoute("draft", "streaming", modelService, 3, true), newRoute("note", "streaming", modelService, 1, false),
-			newRoute("book", "non_idempotent", plainService, 1, false), newRoute("read", "idempotent", plainService, 2, false),
+			newRoute(routeDraft, "streaming", modelService, 3, true), newRoute(routeNote, "streaming", modelService, 1, false),
+			newRoute(routeBook, "non_idempotent", plainService, 1, false), newRoute(routeRead, "idempotent", plainService, 2, false),
 			newRoute(versionRoute(b.version), "idempotent", plainService, 2, false),
 		},
 		"services": json.RawMessage(services),
--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -201,6 +201,11 @@
 	return t.Decide(f, now).Refused
 }
 
+// Refused returns the requests that must not be sent.
+func (t *CrashTracker) Refused(now time.Duration) []quarantiner.Fingerprint {
+	return t.quarantine.Refused(now)
+}
+
 // CrashRecords returns all crashes that count, to be sent to the peers.
 func (t *CrashTracker) CrashRecords(now time.Duration) []quarantiner.CrashRecord {
 	return t.quarantine.CrashRecords(now)
--- a/internal/process/daemon/state.go
+++ b/internal/process/daemon/state.go
@@ -25,6 +25,8 @@
 	// QueuedGenerations counts the generations that wait for capacity.
 	QueuedGenerations int               `json:"waiting"`
 	Endpoints         []lister.Endpoint `json:"endpoints"`
+	// Quarantined holds the fingerprints of the requests that are refused because they crash endpoints.
+	Quarantined []string `json:"quarantined"`
 	// AvailableTokens holds the available tokens by account.
 	AvailableTokens map[string]float64 `json:"levels"`
 }
@@ -35,6 +37,9 @@
 		Name: d.options.Name, Ready: d.Ready(), OpenRequests: d.controller.ActiveRequests(),
 		QueuedGenerations: d.controller.QueueLength(), AvailableTokens: d.controller.AvailableTokens(),
 	}
+	for _, f := range d.controller.QuarantinedRequests() {
+		state.Quarantined = append(state.Quarantined, f.String())
+	}
 	if m, age := d.tracker.Active(); m != nil {
 		state.ConfigVersion, state.ConfigAgeMS = m.Version(), age.Milliseconds()
 	}
@@ -65,6 +70,7 @@
 		counter("requests.answered", "Requests answered whole.", stats.Answered.Load),
 		counter("requests.refused", "Requests that no endpoint ran.", stats.Refused.Load),
 		counter("requests.failed", "Requests that may have run and were not answered whole.", stats.Failed.Load),
+		counter("requests.quarantined", "Requests refused or ended because they crash endpoints.", stats.Quarantined.Load),
 		counter("calls.repeated", "Calls of model endpoints after the first of a request.", stats.GenerationRetries.Load),
 		counter("prompts.read", "Prompts read by prefill endpoints.", stats.Prefills.Load),
 		counter("prompts.wasted", "Prompts whose KV cache was not taken.", stats.WastedPrefills.Load),
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -13,6 +13,8 @@
 	Refused atomic.Uint64
 	// Failed counts requests that an endpoint may have run and that have no complete response of status 2xx.
 	Failed atomic.Uint64
+	// Quarantined counts requests that were not sent, or not sent again, because they crash endpoints.
+	Quarantined atomic.Uint64
 	// GenerationRetries counts how often a generation was planned again after a failed attempt.
 	GenerationRetries atomic.Uint64
 	// Prefills counts prompts that a prefill endpoint has processed.
@@ -93,6 +95,7 @@
 		e = e.Str("account", j.account.Name).Int("tokens", j.chargedTokens)
 	}
 	if j.record.reason == reasonCrashes {
+		f.Stats.Quarantined.Add(1)
 		e = e.Str("fingerprint", j.fingerprint.String())
 	}
 	if j.record.requestedTokens > 0 {
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -34,6 +34,13 @@
 	return c.crashTracker.Decide(f, c.clock())
 }
 
+// QuarantinedRequests returns the requests that must not be sent because they crash endpoints.
+func (c *Controller) QuarantinedRequests() []quarantiner.Fingerprint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashTracker.Refused(c.clock())
+}
+
 // logCrashOutcomes logs each decision whether a crash counts against a request. The lock must be held.
 func (c *Controller) logCrashOutcomes(now time.Duration) {
 	for _, o := range c.crashTracker.TakeOutcomes(now) {
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -45,6 +45,17 @@
 	return q.Decide(f, now).Refused
 }
 
+// Refused returns the requests that must not be sent, in order.
+func (q *Quarantiner) Refused(now time.Duration) []Fingerprint {
+	var out []Fingerprint
+	for _, f := range q.fingerprints() {
+		if q.IsRefused(f, now) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Decide returns whether a request may be sent to an endpoint.
 func (q *Quarantiner) Decide(f Fingerprint, now time.Duration) Verdict {
 	r := q.lookup(f, now)
