--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -78,20 +78,14 @@
 func encodeCrashRecords(records []quarantiner.CrashRecord) []broadcaster.CrashRecord {
 	var out []broadcaster.CrashRecord
 	for _, r := range records {
-		w := broadcaster.CrashRecord{Fingerprint: uint64(r.Fingerprint)}
-		for _, c := range r.Crashes {
-			age := c.Age.Milliseconds()
-			w.Crashes = append(w.Crashes, broadcaster.Crash{Endpoint: c.Endpoint, AgeMs: age, Cleared: c.Cleared})
-			if c.Cleared {
-				continue
+		endpoints, age := r.Uncleared()
+		w := broadcaster.CrashRecord{Fingerprint: uint64(r.Fingerprint), Endpoints: endpoints, AgeMs: age.Milliseconds()}
+		if len(r.Crashes) > 1 || len(endpoints) == 0 {
+			for _, c := range r.Crashes {
+				w.Crashes = append(w.Crashes, broadcaster.Crash{
+					Endpoint: c.Endpoint, AgeMs: c.Age.Milliseconds(), Cleared: c.Cleared,
+				})
 			}
-			if len(w.Endpoints) == 0 || age < w.AgeMs {
-				w.AgeMs = age
-			}
-			w.Endpoints = append(w.Endpoints, c.Endpoint)
-		}
-		if len(r.Crashes) == 1 && !r.Crashes[0].Cleared {
-			w.Crashes = nil
 		}
 		out = append(out, w)
 	}
@@ -102,16 +96,15 @@
 func decodeCrashRecords(records []broadcaster.CrashRecord, transitTime time.Duration) []quarantiner.CrashRecord {
 	out := make([]quarantiner.CrashRecord, 0, len(records))
 	for _, w := range records {
-		crashes := w.Crashes
-		if len(crashes) == 0 {
-			for _, e := range w.Endpoints {
-				crashes = append(crashes, broadcaster.Crash{Endpoint: e, AgeMs: w.AgeMs})
-			}
+		age := time.Duration(w.AgeMs)*time.Millisecond + transitTime
+		r := quarantiner.NewCrashRecord(quarantiner.Fingerprint(w.Fingerprint), w.Endpoints, age)
+		if len(w.Crashes) > 0 {
+			r.Crashes = nil
 		}
-		r := quarantiner.CrashRecord{Fingerprint: quarantiner.Fingerprint(w.Fingerprint)}
-		for _, c := range crashes {
-			age := time.Duration(c.AgeMs)*time.Millisecond + transitTime
-			r.Crashes = append(r.Crashes, quarantiner.Crash{Endpoint: c.Endpoint, Age: age, Cleared: c.Cleared})
+		for _, c := range w.Crashes {
+			r.Crashes = append(r.Crashes, quarantiner.Crash{
+				Endpoint: c.Endpoint, Age: time.Duration(c.AgeMs)*time.Millisecond + transitTime, Cleared: c.Cleared,
+			})
 		}
 		out = append(out, r)
 	}
--- /dev/null
+++ b/internal/routing/controller/crashes_test.go
@@ -0,0 +1,48 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
+	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
+)
+
+// Crashes that one gateway found must count at another one, also if either is of an older build, which knows only the
+// endpoints and one age.
+func TestCrashRecordsAreLostBetweenGateways(t *testing.T) {
+	for name, convert := range map[string]func(r broadcaster.CrashRecord) broadcaster.CrashRecord{
+		"same build":  func(r broadcaster.CrashRecord) broadcaster.CrashRecord { return r },
+		"older build": func(r broadcaster.CrashRecord) broadcaster.CrashRecord { r.Crashes = nil; return r },
+	} {
+		t.Run(name, func(t *testing.T) {
+			from, to := newGateway(t, profiler.Usage{}), newGateway(t, profiler.Usage{})
+			from.now, to.now = time.Minute, 3*time.Minute
+			for _, endpoint := range []string{"e1", "e2"} {
+				from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) {
+					tracker.RecordBrokenConnection(endpoint, 77, now)
+					tracker.RecordEndpointDown(endpoint, now)
+				})
+			}
+			m, _ := from.Compose(false)
+			for i := range m.CrashRecords {
+				m.CrashRecords[i] = convert(m.CrashRecords[i])
+			}
+			m.From, m.Incarnation = "peer", 1
+			to.Receive(m)
+			if v := to.DecideQuarantine(77); !v.Refused {
+				t.Errorf("got %+v at the other gateway, want a refusal", v)
+			}
+			from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) { tracker.RecordServed(77, now) })
+			if m, _ = from.Compose(false); len(m.CrashRecords) != 1 {
+				t.Fatalf("got %d records after the request completed, want one", len(m.CrashRecords))
+			}
+			m.From, m.Incarnation = "peer", 1
+			to.Receive(m)
+			if v := to.DecideQuarantine(77); v.Refused {
+				t.Error("got a refusal although the request has completed, want none")
+			}
+		})
+	}
+}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -47,6 +47,30 @@
 	Crashes     []Crash
 }
 
+// NewCrashRecord returns the record of a request whose crashes are only known by their endpoints and the age of the latest
+// one. Gateways of older builds send records in this form.
+func NewCrashRecord(f Fingerprint, endpoints []string, age time.Duration) CrashRecord {
+	r := CrashRecord{Fingerprint: f}
+	for _, e := range endpoints {
+		r.Crashes = append(r.Crashes, Crash{Endpoint: e, Age: age})
+	}
+	return r
+}
+
+// Uncleared returns the endpoints whose crashes are not cleared, and the age of the latest of these crashes.
+func (r CrashRecord) Uncleared() (endpoints []string, age time.Duration) {
+	for _, c := range r.Crashes {
+		if c.Cleared {
+			continue
+		}
+		if len(endpoints) == 0 || c.Age < age {
+			age = c.Age
+		}
+		endpoints = append(endpoints, c.Endpoint)
+	}
+	return endpoints, age
+}
+
 // Quarantiner stores crash records for a limited time. It is not safe for concurrent use. Its times are durations since
 // any fixed start.
 type Quarantiner struct {
--- a/service/fleet/convert.go
+++ b/service/fleet/convert.go
@@ -31,17 +31,10 @@
 func EncodeCrashRecords(records []quarantiner.CrashRecord) []CrashRecord {
 	var out []CrashRecord
 	for _, r := range records {
-		w := CrashRecord{Fingerprint: uint64(r.Fingerprint)}
+		endpoints, age := r.Uncleared()
+		w := CrashRecord{Fingerprint: uint64(r.Fingerprint), Endpoints: endpoints, AgeMillis: age.Milliseconds()}
 		for _, c := range r.Crashes {
-			age := c.Age.Milliseconds()
-			w.Crashes = append(w.Crashes, Crash{Endpoint: c.Endpoint, AgeMillis: age, Cleared: c.Cleared})
-			if c.Cleared {
-				continue
-			}
-			if len(w.Endpoints) == 0 || age < w.AgeMillis {
-				w.AgeMillis = age
-			}
-			w.Endpoints = append(w.Endpoints, c.Endpoint)
+			w.Crashes = append(w.Crashes, Crash{Endpoint: c.Endpoint, AgeMillis: c.Age.Milliseconds(), Cleared: c.Cleared})
 		}
 		out = append(out, w)
 	}
@@ -52,19 +45,19 @@
 func DecodeCrashRecords(records []CrashRecord) []quarantiner.CrashRecord {
 	var out []quarantiner.CrashRecord
 	for _, w := range records {
-		crashes := w.Crashes
-		if len(crashes) == 0 {
-			for _, e := range w.Endpoints {
-				crashes = append(crashes, Crash{Endpoint: e, AgeMillis: w.AgeMillis})
-			}
+		r := quarantiner.NewCrashRecord(quarantiner.Fingerprint(w.Fingerprint), w.Endpoints, ageOf(w.AgeMillis))
+		if len(w.Crashes) > 0 {
+			r.Crashes = nil
 		}
-		r := quarantiner.CrashRecord{Fingerprint: quarantiner.Fingerprint(w.Fingerprint)}
-		for _, c := range crashes {
-			r.Crashes = append(r.Crashes, quarantiner.Crash{
-				Endpoint: c.Endpoint, Age: time.Duration(max(0, c.AgeMillis)) * time.Millisecond, Cleared: c.Cleared,
-			})
+		for _, c := range w.Crashes {
+			r.Crashes = append(r.Crashes, quarantiner.Crash{Endpoint: c.Endpoint, Age: ageOf(c.AgeMillis), Cleared: c.Cleared})
 		}
 		out = append(out, r)
 	}
 	return out
 }
+
+// ageOf returns an age in milliseconds as a duration, and zero for a negative one.
+func ageOf(millis int64) time.Duration {
+	return time.Duration(max(0, millis)) * time.Millisecond
+}
