An endpoint list without times of the start shows no new starts

During an upgrade, entries that peers of older builds pass on lack the time of the start. A change from a known time to none counted as a new start, and so as a crash against the requests whose connections had broken there.

--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -61,6 +61,12 @@
 	Leaving     bool
 }
 
+// startedAfter reports whether the endpoint has started again since an earlier state of the list. It is false if either
+// start is not known: peers of older builds do not send it.
+func (e Endpoint) startedAfter(before Endpoint) bool {
+	return before.StartedAtMs != 0 && e.StartedAtMs > before.StartedAtMs
+}
+
 // suspect is a request whose connection to an endpoint broke while it was running.
 type suspect struct {
 	fingerprint    quarantiner.Fingerprint
@@ -103,7 +109,7 @@
 			t.decideAll(id, EndpointLeaving, now)
 		case !ok:
 			t.countUnreachable(id, now)
-		case e.StartedAtMs != before.StartedAtMs && before.StartedAtMs != 0:
+		case e.startedAfter(before):
 			t.countAll(id, now)
 		}
 		if !ok {
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// Peers of older builds send entries without the time of the start. That is no new start.
+func TestUnknownStartIsTakenForCrash(t *testing.T) {
+	tracker := newTracker()
+	tracker.RecordBrokenConnection("a", innocent, 0)
+	for _, startedAt := range []int64{0, 1} {
+		unknown := list("a", "b", "c")
+		unknown[0].StartedAtMs = startedAt
+		tracker.SetEndpoints(unknown, time.Second)
+	}
+	if got := tracker.CrashRecords(time.Second); len(got) != 0 {
+		t.Errorf("got crash records %+v, want none", got)
+	}
+}
+
 // An answer to an attempt that began before the connection broke does not show that the endpoint lives.
 func TestAnswerFromBeforeCrashClearsSuspect(t *testing.T) {
 	tracker := newTracker()
