--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -207,9 +207,9 @@
 	return t.Decide(f, now).Refused
 }
 
-// Refused returns the requests that must not be sent.
-func (t *CrashTracker) Refused(now time.Duration) []quarantiner.Fingerprint {
-	return t.quarantine.Refused(now)
+// RefusedRequests returns the requests that must not be sent.
+func (t *CrashTracker) RefusedRequests(now time.Duration) []quarantiner.Fingerprint {
+	return t.quarantine.RefusedRequests(now)
 }
 
 // CrashRecords returns all crashes that count, to be sent to the peers.
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -38,7 +38,7 @@
 func (c *Controller) QuarantinedRequests() []quarantiner.Fingerprint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.crashTracker.Refused(c.clock())
+	return c.crashTracker.RefusedRequests(c.clock())
 }
 
 // logCrashOutcomes logs each decision whether a crash counts against a request. The lock must be held.
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -77,9 +77,9 @@
 	retention  time.Duration
 	maxRecords int
 	records    map[Fingerprint]*record
-	// verdict is what the records say. It is nil if they have changed since, and valid until verdictExpiresAt.
-	verdict          *verdict
-	verdictExpiresAt time.Duration
+	// evaluation is what the records say. It is nil if they have changed since, and valid until evaluationExpiresAt.
+	evaluation          *evaluation
+	evaluationExpiresAt time.Duration
 	// lastChange and lastOther are the fingerprints of the last records that NextCrashRecords returned because of a change
 	// and in their turn.
 	lastChange, lastOther Fingerprint
@@ -140,7 +140,7 @@
 	for i := range r.crashes {
 		r.crashes[i].cleared = true
 	}
-	r.unsent, q.verdict = sendsPerChange, nil
+	r.unsent, q.evaluation = sendsPerChange, nil
 }
 
 // Merge adds the crashes that a peer sent.
@@ -167,7 +167,7 @@
 		if known := &r.crashes[i]; known.endpoint == c.endpoint && (known.at-c.at).Abs() < sameCrashInterval {
 			known.at = min(known.at, c.at)
 			if c.cleared && !known.cleared {
-				known.cleared, q.verdict = true, nil
+				known.cleared, q.evaluation = true, nil
 			}
 			return r, false
 		}
@@ -176,7 +176,7 @@
 		r.crashes = slices.Delete(r.crashes, 0, 1)
 	}
 	r.crashes = append(r.crashes, c)
-	q.verdict = nil
+	q.evaluation = nil
 	return r, true
 }
 
@@ -264,7 +264,7 @@
 
 func (q *Quarantiner) delete(f Fingerprint) {
 	delete(q.records, f)
-	q.verdict = nil
+	q.evaluation = nil
 }
 
 // makeRoom deletes a record if the limit of records is reached.
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -27,8 +27,8 @@
 	RetryAfter time.Duration
 }
 
-// verdict holds the requests that are refused and those that wait for each other.
-type verdict struct {
+// evaluation holds the requests that are refused and those that wait for each other.
+type evaluation struct {
 	refused map[Fingerprint]bool
 	// suspects holds the suspects of the same crashes, in order, for each of them.
 	suspects map[Fingerprint][]Fingerprint
@@ -45,8 +45,8 @@
 	return q.Decide(f, now).Refused
 }
 
-// Refused returns the requests that must not be sent, in order.
-func (q *Quarantiner) Refused(now time.Duration) []Fingerprint {
+// RefusedRequests returns the requests that must not be sent, in order.
+func (q *Quarantiner) RefusedRequests(now time.Duration) []Fingerprint {
 	var out []Fingerprint
 	for _, f := range q.fingerprints() {
 		if q.IsRefused(f, now) {
@@ -62,13 +62,13 @@
 	if r == nil {
 		return Verdict{}
 	}
-	if q.verdict == nil || now >= q.verdictExpiresAt {
+	if q.evaluation == nil || now >= q.evaluationExpiresAt {
 		q.evaluate(now)
 	}
-	if q.verdict.refused[f] {
+	if q.evaluation.refused[f] {
 		return Verdict{Refused: true, RetryAfter: r.lastCrashAt() + q.retention - now}
 	}
-	suspects := q.verdict.suspects[f]
+	suspects := q.evaluation.suspects[f]
 	if len(suspects) == 0 {
 		return Verdict{}
 	}
@@ -91,14 +91,14 @@
 	}
 }
 
-// evaluate computes the verdict. It attributes crashes to the requests with the most crashes first: what they explain
+// evaluate computes the evaluation of all records. It attributes crashes to the requests with the most crashes first: what they explain
 // does not count against the requests beside them.
 func (q *Quarantiner) evaluate(now time.Duration) {
-	q.verdict = &verdict{refused: map[Fingerprint]bool{}, suspects: map[Fingerprint][]Fingerprint{}}
-	q.verdictExpiresAt = math.MaxInt64
+	q.evaluation = &evaluation{refused: map[Fingerprint]bool{}, suspects: map[Fingerprint][]Fingerprint{}}
+	q.evaluationExpiresAt = math.MaxInt64
 	for _, f := range q.fingerprints() {
-		if r := q.lookupForVerdict(f, now); r != nil {
-			q.verdictExpiresAt = min(q.verdictExpiresAt, r.lastCrashAt()+q.retention+1)
+		if r := q.lookupForEvaluation(f, now); r != nil {
+			q.evaluationExpiresAt = min(q.evaluationExpiresAt, r.lastCrashAt()+q.retention+1)
 		}
 	}
 	open, present := q.crashesByRequest()
@@ -109,7 +109,7 @@
 		}
 		explained := map[int]bool{}
 		for _, f := range causes {
-			q.verdict.refused[f] = true
+			q.evaluation.refused[f] = true
 			for _, c := range open[f] {
 				explained[c] = true
 			}
@@ -121,13 +121,13 @@
 	}
 	for f, crashes := range open {
 		if len(crashes) >= sufficientCrashes {
-			q.verdict.suspects[f] = suspectsOf(crashes, open, present)
+			q.evaluation.suspects[f] = suspectsOf(crashes, open, present)
 		}
 	}
 }
 
-// lookupForVerdict deletes an expired record without discarding the verdict that is being computed.
-func (q *Quarantiner) lookupForVerdict(f Fingerprint, now time.Duration) *record {
+// lookupForEvaluation deletes an expired record without discarding the evaluation that is being computed.
+func (q *Quarantiner) lookupForEvaluation(f Fingerprint, now time.Duration) *record {
 	r := q.records[f]
 	if now-r.lastCrashAt() > q.retention {
 		delete(q.records, f)
