A refusal that ends with its connection is no suspicion

An endpoint's 503 that says that the request has not run may have no length. It made the request a suspect, and if the endpoint was then taken away without notice, its end counted against the request. TestRequestIsSuspectedWithoutBrokenConnection/not_run got a suspicion before.

--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -34,7 +34,7 @@
 			t.RecordEndpointDown(endpointID, now)
 		})
 	case c.err != nil:
-	case c.response != nil && c.response.EndsWithConnection:
+	case c.response != nil && c.response.EndsWithConnection && !c.response.NotExecuted:
 		// The end of the body can't be told from a crash in the middle of it. What comes next shows which it was.
 		f.suspect(j, endpointID)
 	default:
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -283,6 +283,11 @@
 		"no seal": func() (*Response, error) { r := answer("b", 200); r.HasServerSeal = false; return r, nil },
 		"error":   func() (*Response, error) { return answer("b", 500), nil },
 		"refused": func() (*Response, error) { return nil, errRefused },
+		"not run": func() (*Response, error) {
+			r := answer("b", 503)
+			r.NotExecuted, r.EndsWithConnection = true, true
+			return r, nil
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newTestForwarder(t)
