One crash that a first message and a later one report is counted once

Cause: the transit time of a peer's first message is assumed to be a second, to be on the safe side for keys; it moved the crash by just the second that tells two crashes of one endpoint apart, and the gateway that had taken one for two passed both on. Crash records of such a message are left out now; the sender repeats them. Messages of older builds, which never say when they were sent, count as fast.

--- a/cmd/pistachiovane/cmds/edge_crash_test.go
+++ b/cmd/pistachiovane/cmds/edge_crash_test.go
@@ -257,3 +257,21 @@
 		t.Errorf("got %d endpoints ended, want the %d from before the start; log:\n%s", n, ended, env.log.String())
 	}
 }
+
+// A gateway that starts learns of a crash from the first messages of its peers, whose age it can't tell, and from later
+// ones. It must not take one crash for two.
+func TestEdgeCountsOneCrashTwiceAfterStart(t *testing.T) {
+	t.Parallel()
+	env := newCrashEnv(t, "decode", 2)
+	env.sendBody("/note/x", crashingBody)
+	if n := env.crashed(); n != 1 {
+		t.Fatalf("got %d endpoints ended under one send, want one", n)
+	}
+	env.addGateway()
+	time.Sleep(4 * time.Second)
+	for n, g := range env.gateways {
+		if refused := g.state().Quarantined; len(refused) != 0 {
+			t.Errorf("gateway %d refuses %v after one crash, want none; log:\n%s", n, refused, env.log.String())
+		}
+	}
+}
--- a/internal/fleet/broadcaster/broadcaster.go
+++ b/internal/fleet/broadcaster/broadcaster.go
@@ -331,6 +331,7 @@
 	p.incarnation, p.sequence, p.lastReceivedAt = m.Incarnation, m.Sequence, now
 	m.TransitTime = unknownTransitTime
 	if m.SentAtMs > 0 {
+		m.TransitKnown = p.transit.known
 		m.TransitTime = p.transit.transitTime(time.Duration(m.SentAtMs)*time.Millisecond, now)
 	}
 	if m.LoadsOnly {
--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -103,9 +103,10 @@
 	// Sequence increases with each message of an incarnation, so that late datagrams can be dropped.
 	Sequence uint64 `json:"seq"`
 	// SentAtMs is when the message was composed, on the sender's clock. TransitTime is the receiver's estimate of the time
-	// that it took from then on.
-	SentAtMs    int64         `json:"sent,omitempty"`
-	TransitTime time.Duration `json:"-"`
+	// that it took from then on. TransitKnown is false if that is no estimate but an assumption to be on the safe side.
+	SentAtMs     int64         `json:"sent,omitempty"`
+	TransitTime  time.Duration `json:"-"`
+	TransitKnown bool          `json:"-"`
 	// NeedsAvailableTokens is true if the sender has just started and asks for the available tokens of the accounts.
 	NeedsAvailableTokens bool `json:"young,omitempty"`
 	// ConfigVersion is the version of the sender's active configuration, and ConfigAgeMs the time in ms since the store
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -73,6 +73,18 @@
 	return encodeCrashRecords(c.crashTracker.NextCrashRecords(maxCrashChangesPerMessage, others, now))
 }
 
+// receiveCrashRecords adds the crash records of a message. Reports of one crash are recognised by its time, so those of a
+// message that took an unknown time are left out: the sender repeats them. Older builds never say when they sent a
+// message; their messages count as fast. The lock must be held.
+func (c *Controller) receiveCrashRecords(m broadcaster.Message, now time.Duration) {
+	switch {
+	case m.TransitKnown:
+		c.crashTracker.Merge(decodeCrashRecords(m.CrashRecords, m.TransitTime), now)
+	case m.SentAtMs == 0:
+		c.crashTracker.Merge(decodeCrashRecords(m.CrashRecords, 0), now)
+	}
+}
+
 // encodeCrashRecords converts crash records for a message. Ages become ms. The list of all crashes is left out if it would
 // add nothing to the endpoint and the age.
 func encodeCrashRecords(records []quarantiner.CrashRecord) []broadcaster.CrashRecord {
--- a/internal/routing/controller/crashes_test.go
+++ b/internal/routing/controller/crashes_test.go
@@ -46,3 +46,36 @@
 		})
 	}
 }
+
+// The transit time of the first message of a peer is only assumed. One crash that it and a later message report must not
+// be taken for two: a request with one crash was refused at all gateways after any of them had started again.
+func TestCrashInFirstMessageCountsTwice(t *testing.T) {
+	for name, sentAtMs := range map[string]int64{"same build": 5000, "older build": 0} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway(t, profiler.Usage{})
+			g.now = time.Hour
+			for n := range int64(4) {
+				record := broadcaster.CrashRecord{Fingerprint: 77, Endpoints: []string{"e1"}, AgeMs: 3000 + 250*n}
+				m := broadcaster.Message{
+					From: "peer", Incarnation: 1, SentAtMs: sentAtMs, TransitKnown: n > 0 && sentAtMs > 0,
+					CrashRecords: []broadcaster.CrashRecord{record},
+				}
+				if !m.TransitKnown {
+					m.TransitTime = time.Second
+				}
+				g.Receive(m)
+				g.now += 250*time.Millisecond + 100*time.Microsecond
+			}
+			if v := g.DecideQuarantine(77); v.Refused {
+				t.Errorf("got %+v after one crash, want no refusal", v)
+			}
+			g.Receive(broadcaster.Message{
+				From: "peer", Incarnation: 1, SentAtMs: sentAtMs, TransitKnown: sentAtMs > 0,
+				CrashRecords: []broadcaster.CrashRecord{{Fingerprint: 77, Endpoints: []string{"e2"}, AgeMs: 10}},
+			})
+			if v := g.DecideQuarantine(77); !v.Refused {
+				t.Errorf("got %+v after crashes of two endpoints, want a refusal", v)
+			}
+		})
+	}
+}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -103,7 +103,7 @@
 	c.capper.ReceiveTotals(m.From, m.Incarnation, m.AdmittedTotals, m.AllAccounts, now)
 	c.capper.AdoptAvailableTokens(m.AvailableTokens, now)
 	c.receiveStages(m, now)
-	c.crashTracker.Merge(decodeCrashRecords(m.CrashRecords, m.TransitTime), now)
+	c.receiveCrashRecords(m, now)
 	loads := make(map[string]planner.Load, len(m.Loads))
 	for _, l := range m.Loads {
 		loads[l.Endpoint] = decodeLoad(l)
