A crashed endpoint is reported to the planner once, and the test shows the ejection

Found in the read of the whole change: an attempt whose connection broke before the head of the response was reported as a failure twice, by the attempt and by the probe, so that the endpoint was ejected as after two failures. Now the probe's result is reported only for a stream that had begun, where nobody else does. A prefill tells the planner of its end before the probe, not after it. The refusal on arrival uses refuseQuarantined like the others.

--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -22,13 +22,12 @@
 }
 
 // reportContact tells the crash tracker what an attempt of a request at an endpoint has shown. If the connection broke,
-// the request becomes a suspect, and reportContact probes whether the endpoint is down before anything is sent again.
-func (f *Forwarder) reportContact(j *job, endpointID, address string, c contact) {
+// the request becomes a suspect, and reportContact probes whether the endpoint is down before anything is sent again. It
+// returns true if the probe found that.
+func (f *Forwarder) reportContact(j *job, endpointID, address string, c contact) (down bool) {
 	switch {
 	case isConnectionLost(c.err):
-		if f.suspect(j, endpointID) {
-			f.probe(j, endpointID, address)
-		}
+		return f.suspect(j, endpointID) && f.probe(endpointID, address)
 	case isRefusedConnection(c.err), c.response != nil && c.response.Misdirected:
 		f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 			t.RecordEndpointDown(endpointID, now)
@@ -42,6 +41,7 @@
 			t.RecordEndpointUp(endpointID, c.attemptedAt, now)
 		})
 	}
+	return false
 }
 
 // suspect records that the connection to an endpoint broke while it ran a request. It returns false if that can't count
@@ -55,21 +55,19 @@
 	return recorded
 }
 
-// probe tells the crash tracker whether an endpoint refuses or accepts a connection. One that refuses it is ejected, here
-// and at the peers, before other requests are sent to it.
-func (f *Forwarder) probe(j *job, endpointID, address string) {
+// probe tells the crash tracker whether an endpoint refuses or accepts a connection. It returns true if it refuses it.
+func (f *Forwarder) probe(endpointID, address string) (down bool) {
 	err := f.prober.Probe(address)
-	if isRefusedConnection(err) && j.engine != nil {
-		f.controller.ReportFailure(endpointID)
-	}
+	down = isRefusedConnection(err)
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 		switch {
 		case err == nil:
 			t.RecordEndpointReachable(endpointID)
-		case isRefusedConnection(err):
+		case down:
 			t.RecordEndpointDown(endpointID, now)
 		}
 	})
+	return down
 }
 
 // reportServed tells the crash tracker that a request completed, unless the end of the response can't be told from a
@@ -107,13 +105,12 @@
 }
 
 // refuseQuarantined answers a request that must not be sent because it crashes endpoints. The status is 502 if an
-// endpoint may have run it, else 503.
-func (f *Forwarder) refuseQuarantined(j *job) {
+// endpoint may have run it, else 503. It always returns false, like refuse.
+func (f *Forwarder) refuseQuarantined(j *job) bool {
 	if j.maybeExecuted {
-		f.refuse(j, http.StatusBadGateway, 0, reasonCrashes)
-		return
+		return f.refuse(j, http.StatusBadGateway, 0, reasonCrashes)
 	}
-	f.refuse(j, http.StatusServiceUnavailable, max(retryAfterShort, j.quarantineTime), reasonCrashes)
+	return f.refuse(j, http.StatusServiceUnavailable, max(retryAfterShort, j.quarantineTime), reasonCrashes)
 }
 
 // isConnectionLost reports whether an error means that the endpoint ended the connection before its response was
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -115,7 +115,7 @@
 	heldFailure *bufferedResponse
 	// fingerprint identifies the request for the crash tracker. It is the same when the caller sends the request again.
 	fingerprint quarantiner.Fingerprint
-	// quarantineTime is how long the request must not be sent because of crashes. It is set by checkQuarantine.
+	// quarantineTime is how long the request must not be sent because of crashes.
 	quarantineTime time.Duration
 	// contact is what the latest attempt has shown about its endpoint.
 	contact contact
@@ -196,7 +196,8 @@
 	}
 	j.fingerprint = fingerprint(j)
 	if v := f.controller.DecideQuarantine(j.fingerprint); v.Refused {
-		return f.refuse(j, http.StatusServiceUnavailable, v.RetryAfter, reasonCrashes)
+		j.quarantineTime = v.RetryAfter
+		return f.refuseQuarantined(j)
 	}
 	return true
 }
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -329,7 +330,9 @@
 	f.endpoints.run = func(address string) (*Response, error) {
 		if down == "" {
 			down = address
-			return nil, errLost
+			r := answer("", 200)
+			r.ContentLength, r.Body = -1, iotest.ErrReader(io.ErrUnexpectedEOF)
+			return r, nil
 		}
 		return answer("id: 1\n\n", 200), nil
 	}
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -170,7 +170,11 @@
 	e := g.plan.Decode
 	g.contact = contact{attemptedAt: f.clock()}
 	result := f.attemptDecode(ctx, g)
-	f.reportContact(g.job, e.ID, e.Address, g.contact)
+	down := f.reportContact(g.job, e.ID, e.Address, g.contact)
+	if down && g.contact.response != nil {
+		// The stream had begun. A failure before that has been reported already.
+		f.controller.ReportFailure(e.ID)
+	}
 	if result == outcomeAnswered && g.contact.err == nil && g.record.reason == "" {
 		f.reportServed(g.job, g.contact.response)
 	}
--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -54,7 +54,6 @@
 		})
 		cancel()
 		duration := f.clock() - startedAt
-		f.reportContact(g.job, e.ID, e.Address, contact{attemptedAt: startedAt, err: err, response: response})
 		f.controller.UpdatePlanner(func(p *planner.Planner, now time.Duration) []planner.Decision {
 			if kvSource == "" {
 				p.CancelPrefill(g.plannerID)
@@ -63,6 +62,7 @@
 			}
 			return nil
 		})
+		f.reportContact(g.job, e.ID, e.Address, contact{attemptedAt: startedAt, err: err, response: response})
 		if kvSource != "" {
 			g.kvSource, g.kvHolder, g.kvExpiresAt = kvSource, e, f.clock()+g.engine.HandleTTL-kvTransferMargin
 			g.record.prefillTime = f.clock() - g.receivedAt
