--- a/cmd/soak/endpoints.go
+++ b/cmd/soak/endpoints.go
@@ -71,10 +71,12 @@
 func (b *testbed) replaceEndpoint(i int) error {
 	b.mu.Lock()
 	replaced := b.endpoints[i%len(b.endpoints)]
-	alreadyLeaving := replaced.leaving || !replaced.CrashedAt().IsZero()
-	replaced.leaving = replaced.leaving || !alreadyLeaving
+	gone := replaced.leaving || !replaced.CrashedAt().IsZero()
+	if !gone {
+		replaced.leaving = true
+	}
 	b.mu.Unlock()
-	if alreadyLeaving {
+	if gone {
 		return nil
 	}
 	if err := b.addEndpoint(replaced.Stage); err != nil {
@@ -103,8 +105,8 @@
 	}
 }
 
-// writeHeartbeats writes the entries of all endpoints that have not crashed to the store. It holds the lock meanwhile, so that no entry of a
-// leaving endpoint is overwritten by an older state.
+// writeHeartbeats writes the entries of all endpoints that have not crashed to the store. It holds the lock meanwhile, so
+// that no entry of a leaving endpoint is overwritten by an older state.
 func (b *testbed) writeHeartbeats() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/fleet/confirmer/confirmer.go
+++ b/internal/fleet/confirmer/confirmer.go
@@ -29,24 +29,20 @@
 	return &Confirmer{options: o, currentAt: now, lastReadAt: now}
 }
 
-// ConfirmFromStore records that the store confirmed that the list was complete at the given time.
-func (c *Confirmer) ConfirmFromStore(at time.Duration) {
+// Confirm records that the list was complete at the given time: the store said so, or a peer that knew all changes up to
+// then has the same list.
+func (c *Confirmer) Confirm(at time.Duration) {
 	c.currentAt = max(c.currentAt, at)
 }
 
-// ConfirmEqualList records that a peer, which knew all changes up to the time at, has the same list.
-func (c *Confirmer) ConfirmEqualList(at time.Duration) {
-	c.currentAt = max(c.currentAt, at)
-}
-
-// ConfirmFromPeer records a message of an older build, which has no digest of the list. It contains all changes its sender learned within RepeatTime before sentAt, and whose
-// sender knew all changes up to the time at. It confirms nothing if changes may have been missed before: those are no
-// longer in the message.
+// ConfirmFromPeer records a message of an older build, which has no digest of the list. The message contains all changes
+// that its sender learned within RepeatTime before sentAt, and the sender knew all changes up to the time at. It confirms
+// nothing if changes may have been missed before: those are no longer in the message.
 func (c *Confirmer) ConfirmFromPeer(sentAt, at time.Duration) {
 	if c.currentAt < sentAt-c.options.RepeatTime {
 		return
 	}
-	c.currentAt = max(c.currentAt, at)
+	c.Confirm(at)
 }
 
 // Age returns the time since the list was known to be complete.
--- a/internal/fleet/confirmer/confirmer_test.go
+++ b/internal/fleet/confirmer/confirmer_test.go
@@ -23,7 +23,7 @@
 	if !c.ReadDue(healedAt + time.Second) {
 		t.Error("got no read of the list after a cut of 10s, want one")
 	}
-	c.ConfirmFromStore(healedAt + 1100*time.Millisecond)
+	c.Confirm(healedAt + 1100*time.Millisecond)
 	c.ConfirmFromPeer(healedAt+1200*time.Millisecond, healedAt+1150*time.Millisecond)
 	if age := c.Age(healedAt + 1200*time.Millisecond); age != 50*time.Millisecond {
 		t.Errorf("got age %v of the list after the read and a message, want 50ms", age)
@@ -44,7 +44,7 @@
 // A peer with the same list confirms it, whatever messages were missed before.
 func TestEqualListConfirmsNothingAfterCut(t *testing.T) {
 	c := confirmer.New(options, 0)
-	c.ConfirmEqualList(9 * time.Second)
+	c.Confirm(9 * time.Second)
 	if age := c.Age(10 * time.Second); age != time.Second {
 		t.Errorf("got age %v after a peer confirmed an equal list as of 1s ago, want 1s", age)
 	}
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -3,8 +3,10 @@
 package lister
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,17 +48,27 @@
 type Lister struct {
 	// entries holds the listed endpoints, and the removed ones for a while so that older entries cannot restore them.
 	entries map[string]Entry
-	// changedAt holds, by key, the time of the latest change.
-	changedAt map[string]time.Duration
-	// unsent holds, by key, how often the latest change is still to be sent to peers.
-	unsent map[string]int
+	// removedAt holds, by key, when entries were removed.
+	removedAt map[string]time.Duration
+	// unsent holds, by key, the changes that are still to be sent to peers.
+	unsent map[string]unsentChange
+	// sentChanges counts the calls of Send.
+	sentChanges int
 	// digest combines the digests of all listed endpoints.
 	digest uint64
 }
 
+// unsentChange is a change that is still to be sent to peers.
+type unsentChange struct {
+	// times is how often it is still to be sent.
+	times int
+	// number is greater for a later change.
+	number int
+}
+
 // New returns an empty Lister.
 func New() *Lister {
-	return &Lister{entries: map[string]Entry{}, changedAt: map[string]time.Duration{}, unsent: map[string]int{}}
+	return &Lister{entries: map[string]Entry{}, removedAt: map[string]time.Duration{}, unsent: map[string]unsentChange{}}
 }
 
 // Apply stores an entry unless a newer one is known, and returns whether the list of endpoints changed. A new revision
@@ -74,7 +86,10 @@
 		return false
 	}
 	l.digest ^= old.digest() ^ e.digest()
-	l.changedAt[e.Key] = now
+	delete(l.removedAt, e.Key)
+	if e.Removed {
+		l.removedAt[e.Key] = now
+	}
 	return true
 }
 
@@ -116,41 +131,35 @@
 
 // Send makes NextChanges return the latest change of a key the given number of times.
 func (l *Lister) Send(key string, times int) {
-	l.unsent[key] = times
+	l.sentChanges++
+	l.unsent[key] = unsentChange{times: times, number: l.sentChanges}
 }
 
-// NextChanges returns at most maxEntries entries for the next message to the peers: first those that were returned the
-// least often, of these the latest change first.
+// NextChanges returns at most maxEntries entries for the next message to the peers: first those that are to be returned
+// most often, of these the latest change first.
 func (l *Lister) NextChanges(maxEntries int) []Entry {
-	keys := make([]string, 0, len(l.unsent))
-	for key := range l.unsent {
-		keys = append(keys, key)
-	}
-	sort.Slice(keys, func(i, j int) bool {
-		if l.unsent[keys[i]] != l.unsent[keys[j]] {
-			return l.unsent[keys[i]] > l.unsent[keys[j]]
-		}
-		return l.changedAt[keys[i]] > l.changedAt[keys[j]]
+	keys := slices.SortedFunc(maps.Keys(l.unsent), func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.unsent[b].times, l.unsent[a].times), cmp.Compare(l.unsent[b].number, l.unsent[a].number))
 	})
 	keys = keys[:min(maxEntries, len(keys))]
 	out := make([]Entry, 0, len(keys))
 	for _, key := range keys {
 		out = append(out, l.entries[key])
-		if l.unsent[key]--; l.unsent[key] == 0 {
+		change := l.unsent[key]
+		change.times--
+		l.unsent[key] = change
+		if change.times == 0 {
 			delete(l.unsent, key)
 		}
 	}
 	return out
 }
 
-// DropRemoved drops the removed entries whose change is older than retention.
+// DropRemoved drops the entries that were removed longer than retention ago.
 func (l *Lister) DropRemoved(retention, now time.Duration) {
-	for key, at := range l.changedAt {
-		if now-at <= retention {
-			continue
-		}
-		delete(l.changedAt, key)
-		if l.entries[key].Removed {
+	for key, at := range l.removedAt {
+		if now-at > retention {
+			delete(l.removedAt, key)
 			delete(l.entries, key)
 		}
 	}
--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -228,8 +228,8 @@
 	t.quarantine.Merge(records, now)
 }
 
-// TakeOutcomes returns the decisions since its last call, and those on suspects that have waited for too long.
-func (t *CrashTracker) TakeOutcomes(now time.Duration) []Outcome {
+// ExpireSuspects drops the suspects that have waited for too long. It must be called regularly.
+func (t *CrashTracker) ExpireSuspects(now time.Duration) {
 	for endpoint := range t.suspects {
 		t.keepSuspects(endpoint, func(s suspect) bool {
 			if now-s.disconnectedAt <= suspectTimeout {
@@ -239,6 +239,10 @@
 			return false
 		})
 	}
+}
+
+// TakeOutcomes returns the decisions since its last call.
+func (t *CrashTracker) TakeOutcomes() []Outcome {
 	out := t.outcomes
 	t.outcomes = nil
 	return out
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -179,7 +179,8 @@
 	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
 	tracker.RecordEndpointUp("b", 3*time.Second, 4*time.Second)
 	tracker.RecordBrokenConnection("c", poison, 5*time.Second)
-	got := tracker.TakeOutcomes(2 * time.Minute)
+	tracker.ExpireSuspects(2 * time.Minute)
+	got := tracker.TakeOutcomes()
 	want := []crashtracker.Outcome{
 		{Endpoint: "a", Fingerprint: poison, Decision: crashtracker.Counted, Age: time.Second},
 		{Endpoint: "b", Fingerprint: poison, Decision: crashtracker.EndpointAnswered, Age: 2 * time.Second},
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -276,7 +276,7 @@
 		d.sendChanges(changed, true)
 	}
 	d.listConfirmedAt = u.CurrentAt
-	d.listConfirmer.ConfirmFromStore(u.CurrentAt)
+	d.listConfirmer.Confirm(u.CurrentAt)
 }
 
 // decodeEntry returns the entry of a key in a store update. A missing entry counts as removed, and so does one that
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -103,7 +103,7 @@
 	d.sendChanges(changed, false)
 	sentAt := now - m.TransitTime
 	if m.ListDigestAgeMs != nil && m.ListDigest == d.lister.Digest() {
-		d.listConfirmer.ConfirmEqualList(sentAt - time.Duration(*m.ListDigestAgeMs)*time.Millisecond)
+		d.listConfirmer.Confirm(sentAt - time.Duration(*m.ListDigestAgeMs)*time.Millisecond)
 	}
 	if m.ListAgeMs != nil {
 		d.listConfirmer.ConfirmFromPeer(sentAt, sentAt-time.Duration(*m.ListAgeMs)*time.Millisecond)
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -24,7 +24,7 @@
 	defer c.mu.Unlock()
 	now := c.clock()
 	change(c.crashTracker, now)
-	c.logCrashOutcomes(now)
+	c.logCrashOutcomes()
 }
 
 // DecideQuarantine returns whether a request may be sent to an endpoint, or must not be because it crashes endpoints.
@@ -42,8 +42,8 @@
 }
 
 // logCrashOutcomes logs each decision whether a crash counts against a request. The lock must be held.
-func (c *Controller) logCrashOutcomes(now time.Duration) {
-	for _, o := range c.crashTracker.TakeOutcomes(now) {
+func (c *Controller) logCrashOutcomes() {
+	for _, o := range c.crashTracker.TakeOutcomes() {
 		c.log.Info().Str("endpoint", o.Endpoint).Str("fingerprint", o.Fingerprint.String()).
 			Str("outcome", string(o.Decision)).Int64("age_ms", o.Age.Milliseconds()).Bool("refused", o.Refused).
 			Msg("crash: decided")
@@ -58,11 +58,14 @@
 	}
 	now := c.clock()
 	c.crashTracker.SetEndpoints(listed, now)
-	c.logCrashOutcomes(now)
+	c.logCrashOutcomes()
 }
 
-// nextCrashRecords returns the crash records for the next message. The lock must be held.
+// nextCrashRecords returns the crash records for the next message. It is called regularly, so it also drops old suspects.
+// The lock must be held.
 func (c *Controller) nextCrashRecords(hasNewPeer bool, now time.Duration) []broadcaster.CrashRecord {
+	c.crashTracker.ExpireSuspects(now)
+	c.logCrashOutcomes()
 	others := 0
 	if c.composedMessages%messagesPerCrashRecord == 0 {
 		others = 1
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -26,7 +26,6 @@
 		}
 		m.EndpointRequests[id] = [2]int64{int64(report.Requests), report.Age.Milliseconds()}
 	}
-	c.logCrashOutcomes(now)
 	m.CrashRecords = c.nextCrashRecords(includeAvailableTokens, now)
 	maxAge := totalsReportTime
 	if c.composedMessages%messagesPerFullTotals == 0 {
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -80,9 +81,13 @@
 	// evaluation is what the records say. It is nil if they have changed since, and valid until evaluationExpiresAt.
 	evaluation          *evaluation
 	evaluationExpiresAt time.Duration
-	// lastChange and lastOther are the fingerprints of the last records that NextCrashRecords returned because of a change
-	// and in their turn.
-	lastChange, lastOther Fingerprint
+	// sorted holds the fingerprints of all records in order. It is nil if it must be computed again.
+	sorted []Fingerprint
+	// changed holds the fingerprints of the records that are to be sent because of a change, each once, in the order in
+	// which they are sent. It may also hold some of deleted records.
+	changed []Fingerprint
+	// lastOther is the fingerprint of the last record that NextCrashRecords returned in its turn.
+	lastOther Fingerprint
 }
 
 // record is the stored form of a CrashRecord.
@@ -124,10 +129,18 @@
 // RecordEarlierCrash is RecordCrash for a crash at the given time, of which this process has learned only now.
 func (q *Quarantiner) RecordEarlierCrash(f Fingerprint, endpoint string, at, now time.Duration) {
 	if r, changed := q.add(f, crash{endpoint: endpoint, at: at}, now); changed {
-		r.unsent = sendsPerChange
+		q.announce(f, r)
 	}
 }
 
+// announce makes NextCrashRecords return a record because of a change.
+func (q *Quarantiner) announce(f Fingerprint, r *record) {
+	if r.unsent == 0 {
+		q.changed = append(q.changed, f)
+	}
+	r.unsent = sendsPerChange
+}
+
 // Clear records that a request has completed, so that it was not the cause of the crashes so far.
 func (q *Quarantiner) Clear(f Fingerprint, now time.Duration) {
 	r := q.lookup(f, now)
@@ -140,7 +153,8 @@
 	for i := range r.crashes {
 		r.crashes[i].cleared = true
 	}
-	r.unsent, q.evaluation = sendsPerChange, nil
+	q.evaluation = nil
+	q.announce(f, r)
 }
 
 // Merge adds the crashes that a peer sent.
@@ -161,7 +175,7 @@
 	if r == nil {
 		q.makeRoom()
 		r = &record{}
-		q.records[f] = r
+		q.records[f], q.sorted = r, nil
 	}
 	for i := range r.crashes {
 		if known := &r.crashes[i]; known.endpoint == c.endpoint && (known.at-c.at).Abs() < sameCrashInterval {
@@ -195,49 +209,48 @@
 // has changed and not sent sendsPerChange times since, and at most maxOthers of the remaining ones, each in turn. Records
 // of requests that have completed are sent only as changes.
 func (q *Quarantiner) NextCrashRecords(maxChanges, maxOthers int, now time.Duration) []CrashRecord {
-	if len(q.records) == 0 {
-		return nil
-	}
+	out := q.nextChanges(maxChanges, now)
 	fingerprints := q.fingerprints()
-	changes := q.nextRecords(fingerprints, &q.lastChange, maxChanges, now, func(r *record) bool { return r.unsent > 0 })
-	others := q.nextRecords(fingerprints, &q.lastOther, maxOthers, now, func(r *record) bool {
-		return r.unsent == 0 && !r.isCleared()
-	})
-	for _, c := range changes {
-		q.records[c.Fingerprint].unsent--
+	first, _ := slices.BinarySearch(fingerprints, q.lastOther+1)
+	for i := 0; i < len(fingerprints) && maxOthers > 0; i++ {
+		f := fingerprints[(first+i)%len(fingerprints)]
+		if r := q.lookup(f, now); r != nil && r.unsent == 0 && !r.isCleared() {
+			out = append(out, r.export(f, now))
+			q.lastOther = f
+			maxOthers--
+		}
 	}
-	return append(changes, others...)
+	return out
 }
 
-// nextRecords returns at most limit of the selected records, beginning after the fingerprint last, and sets last to that of
-// the last one.
-func (q *Quarantiner) nextRecords(
-	fingerprints []Fingerprint, last *Fingerprint, limit int, now time.Duration, selected func(r *record) bool,
-) []CrashRecord {
+// nextChanges returns at most limit records that are to be sent because of a change.
+func (q *Quarantiner) nextChanges(limit int, now time.Duration) []CrashRecord {
 	var out []CrashRecord
-	first, _ := slices.BinarySearch(fingerprints, *last+1)
-	for i := range fingerprints {
-		f := fingerprints[(first+i)%len(fingerprints)]
-		r := q.lookup(f, now)
-		if len(out) >= limit {
+	pending := q.changed
+	q.changed = nil
+	for i, f := range pending {
+		if len(out) == limit {
+			q.changed = append(pending[i:], q.changed...)
 			break
 		}
-		if r != nil && selected(r) {
-			out = append(out, r.export(f, now))
-			*last = f
+		r := q.lookup(f, now)
+		if r == nil || r.unsent == 0 {
+			continue
+		}
+		out = append(out, r.export(f, now))
+		if r.unsent--; r.unsent > 0 {
+			q.changed = append(q.changed, f)
 		}
 	}
 	return out
 }
 
-// fingerprints returns the fingerprints of all records in order.
+// fingerprints returns the fingerprints of all records in order. The result must not be changed.
 func (q *Quarantiner) fingerprints() []Fingerprint {
-	out := make([]Fingerprint, 0, len(q.records))
-	for f := range q.records {
-		out = append(out, f)
+	if q.sorted == nil {
+		q.sorted = slices.Sorted(maps.Keys(q.records))
 	}
-	slices.Sort(out)
-	return out
+	return q.sorted
 }
 
 // export returns the record of a request for peers.
@@ -264,7 +277,7 @@
 
 func (q *Quarantiner) delete(f Fingerprint) {
 	delete(q.records, f)
-	q.evaluation = nil
+	q.evaluation, q.sorted = nil, nil
 }
 
 // makeRoom deletes a record if the limit of records is reached.
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -91,16 +91,16 @@
 	}
 }
 
-// evaluate computes the evaluation of all records. It attributes crashes to the requests with the most crashes first: what they explain
-// does not count against the requests beside them.
+// evaluate computes the evaluation of all records. It attributes crashes to the requests with the most crashes first:
+// what they explain does not count against the requests beside them.
 func (q *Quarantiner) evaluate(now time.Duration) {
-	q.evaluation = &evaluation{refused: map[Fingerprint]bool{}, suspects: map[Fingerprint][]Fingerprint{}}
 	q.evaluationExpiresAt = math.MaxInt64
 	for _, f := range q.fingerprints() {
-		if r := q.lookupForEvaluation(f, now); r != nil {
+		if r := q.lookup(f, now); r != nil {
 			q.evaluationExpiresAt = min(q.evaluationExpiresAt, r.lastCrashAt()+q.retention+1)
 		}
 	}
+	q.evaluation = &evaluation{refused: map[Fingerprint]bool{}, suspects: map[Fingerprint][]Fingerprint{}}
 	open, present := q.crashesByRequest()
 	for {
 		causes := findCauses(open, present)
@@ -126,16 +126,6 @@
 	}
 }
 
-// lookupForEvaluation deletes an expired record without discarding the evaluation that is being computed.
-func (q *Quarantiner) lookupForEvaluation(f Fingerprint, now time.Duration) *record {
-	r := q.records[f]
-	if now-r.lastCrashAt() > q.retention {
-		delete(q.records, f)
-		return nil
-	}
-	return r
-}
-
 // crashesByRequest numbers the crashes and returns those that are not cleared: the ascending numbers of the crashes of
 // each request, and the requests that were running at each crash.
 func (q *Quarantiner) crashesByRequest() (open map[Fingerprint][]int, present map[int][]Fingerprint) {
