--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 )
 
 const (
@@ -214,7 +215,7 @@
 // discardBody reads and drops the body of a response to another request. It returns false if the end of the body can't
 // be determined, the read fails or the body is too long; the connection is then unusable.
 func discardBody(r *http.Response) bool {
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if !delimiter.New(r).MarksEnd() {
 		return false
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxSkippedBodyBytes))
@@ -228,8 +229,8 @@
 	return b.Bytes()
 }
 
-// Read reads from the body. It returns io.EOF only at the end of a complete body. A body without a length or chunked
-// encoding ends with the connection; if it is truncated, Read can't detect that.
+// Read reads from the body. It returns io.EOF at the end of a complete body. If the delimiter does not mark the end, it
+// returns io.EOF also when the endpoint crashed in the middle of the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
 	if err == io.EOF {
@@ -248,13 +249,13 @@
 	r.exchanger.putIdle(r.conn)
 }
 
-// reusable reports whether the connection can carry another exchange. A body that ends with the connection, without a
-// length or chunked encoding, makes it unusable.
+// reusable reports whether the connection can carry another exchange. A body that ends with the connection makes it
+// unusable.
 func (r *Response) reusable() bool {
 	if !r.bodyComplete || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
-	if r.EndsWithConnection() {
+	if !r.Delimiter().MarksEnd() {
 		return false
 	}
 	select {
@@ -265,10 +266,9 @@
 	}
 }
 
-// EndsWithConnection reports whether the body has neither a length nor chunked encoding, so that it ends with the
-// connection.
-func (r *Response) EndsWithConnection() bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+// Delimiter returns what delimits the body.
+func (r *Response) Delimiter() delimiter.Delimiter {
+	return delimiter.New(r.Response)
 }
 
 // Connect opens a connection to an address and closes it again. It fails if none can be opened.
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -214,6 +214,7 @@
 		return outcomeNotExecuted, nil
 	}
 	j.maybeExecuted = true
+	j.record.delimiter, j.record.ending = r.Delimiter, notEnded
 	if !r.HasServerSeal {
 		return outcomeBroken, nil
 	}
@@ -222,6 +223,7 @@
 		buffer.Grow(int(r.ContentLength) + bytes.MinRead)
 	}
 	_, err := io.Copy(&buffer, io.LimitReader(r.Body, maxBufferedBodyBytes))
+	j.record.ending = endingOf(r, err)
 	if err != nil {
 		j.contact.err = err
 		f.log.Info().Str("id", j.ID).Str("endpoint", j.record.endpoint).Err(err).Msg("forward: answer broke off")
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -33,7 +33,7 @@
 			t.RecordEndpointDown(endpointID, now)
 		})
 	case c.err != nil:
-	case c.response != nil && c.response.EndsWithConnection && !c.response.NotExecuted:
+	case c.response != nil && !c.response.Delimiter.MarksEnd() && !c.response.NotExecuted:
 		// The end of the body can't be told from a crash in the middle of it. What comes next shows which it was.
 		f.suspect(j, endpointID)
 	default:
@@ -73,7 +73,7 @@
 // reportServed tells the crash tracker that a request completed, unless the end of the response can't be told from a
 // crash.
 func (f *Forwarder) reportServed(j *job, r *Response) {
-	if r.EndsWithConnection || r.Status >= http.StatusMultipleChoices {
+	if !r.Delimiter.MarksEnd() || r.Status >= http.StatusMultipleChoices {
 		return
 	}
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
@@ -286,7 +287,7 @@
 		"refused": func() (*Response, error) { return nil, errRefused },
 		"not run": func() (*Response, error) {
 			r := answer("b", 503)
-			r.NotExecuted, r.EndsWithConnection = true, true
+			r.NotExecuted, r.Delimiter = true, delimiter.ConnectionEnd
 			return r, nil
 		},
 	} {
@@ -311,7 +312,7 @@
 	f := newTestForwarder(t)
 	f.endpoints.run = func(string) (*Response, error) {
 		r := answer("b", 200)
-		r.ContentLength, r.EndsWithConnection = -1, true
+		r.ContentLength, r.Delimiter = -1, delimiter.ConnectionEnd
 		return r, nil
 	}
 	f.send("/read/x")
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -211,6 +211,7 @@
 		return outcomeNotExecuted
 	}
 	g.maybeExecuted = true
+	g.record.delimiter, g.record.ending = r.Delimiter, notEnded
 	if g.kvSource != "" {
 		f.reportSuccess(g.kvHolder.ID)
 	}
--- a/internal/proxy/forwarder/ports.go
+++ b/internal/proxy/forwarder/ports.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 )
 
 // Request is a caller's decoded request.
@@ -66,9 +68,9 @@
 	HasServerSeal bool
 	// NotExecuted is set if the endpoint confirms that it has not run the request and will not run it later.
 	NotExecuted bool
-	// EndsWithConnection is set if the body has no length and ends with the connection. Body then returns io.EOF also if
-	// the endpoint crashed in the middle of it.
-	EndsWithConnection bool
+	// Delimiter is what delimits the body. If it does not mark the end, Body returns io.EOF also if the endpoint crashed in
+	// the middle of the body.
+	Delimiter delimiter.Delimiter
 	// Misdirected is set if the address now belongs to another endpoint, which refused the request without running it.
 	Misdirected bool
 	// InFlight is how many requests the endpoint runs and has queued. It is valid if Slots is not zero.
@@ -77,7 +79,7 @@
 	Slots int
 	// ContentLength is the length of the body in bytes. It is negative if it is not known.
 	ContentLength int64
-	// Body returns io.EOF only at the end of a complete body.
+	// Body returns io.EOF at the end of the body, see Delimiter.
 	Body io.Reader
 	// Close ends the exchange. It must be called.
 	Close func()
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 )
 
 // Stats counts requests by outcome, and the work done for them.
@@ -50,6 +52,10 @@
 	timeToHead time.Duration
 	// events counts the stream events sent to the caller.
 	events int
+	// delimiter is what delimits the body of the latest response, and ending how that body ended. Both are zero if there
+	// was no response.
+	delimiter delimiter.Delimiter
+	ending    ending
 }
 
 // LatencyRecorder holds the functions that receive the latencies of requests that an endpoint answered with a status
@@ -110,6 +116,12 @@
 	if j.record.endpoint != "" {
 		e = e.Str("endpoint", j.record.endpoint).Int64("first_ms", j.record.timeToHead.Milliseconds())
 	}
+	if !j.record.delimiter.MarksEnd() {
+		e = e.Str("framing", j.record.delimiter.String())
+	}
+	if j.record.ending > endedComplete {
+		e = e.Str("end", j.record.ending.String())
+	}
 	e.Uint64("version", j.configVersion).Int64("age_ms", j.configAge.Milliseconds()).Int("status", j.record.status).
 		Str("reason", j.record.reason).Int("calls", j.record.attempts).Int64("waited_ms", j.record.queueTime.Milliseconds()).
 		Int("events", j.record.events).Int64("total_ms", (f.clock() - j.receivedAt).Milliseconds()).Msg("forward: done")
--- a/internal/proxy/forwarder/relay.go
+++ b/internal/proxy/forwarder/relay.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/proxy/scanner"
 )
 
 const contentTypeHeader = "Content-Type"
@@ -38,6 +40,8 @@
 	resumable bool
 	// events counts the events sent to the caller, over all attempts.
 	events int
+	// stream follows the events of the current attempt.
+	stream scanner.Scanner
 }
 
 // newRelay returns a relay with a buffer from the pool. release must be called.
@@ -65,6 +69,7 @@
 	flusher := http.NewResponseController(w)
 	for {
 		n, err := body.Read(r.buffer[r.buffered:])
+		r.stream.Scan(r.buffer[r.buffered : r.buffered+n])
 		r.buffered += n
 		sendable := r.sendableBytes(err)
 		if sendable > 0 {
@@ -130,8 +135,12 @@
 		g.record.timeToHead = f.clock() - g.receivedAt
 	}
 	startedAt, eventsBefore := f.clock(), g.relay.events
+	g.relay.stream = scanner.Scanner{}
 	readErr, writeErr := g.relay.copyEvents(g.w, r.Body, watch)
-	g.record.events = g.relay.events
+	g.record.events, g.record.ending = g.relay.events, endingOf(r, readErr)
+	if readErr == nil && writeErr == nil && g.relay.stream.Inside() {
+		g.record.ending = endedInsideEvent
+	}
 	g.contact.err = readErr
 	if readErr == nil && writeErr == nil {
 		f.reportDecodeSpeed(g, g.relay.events-eventsBefore-1, f.clock()-startedAt)
