--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -40,12 +40,19 @@
 	env.store.Close()
 }
 
-// response is the response that a caller received. err is the error of the request or of reading the body.
+// response is the response that a caller received. err is the error of the request or of reading the body. unframed is set
+// if it had neither a length nor chunks.
 type response struct {
-	status int
-	header http.Header
-	body   string
-	err    error
+	status   int
+	header   http.Header
+	body     string
+	err      error
+	unframed bool
+}
+
+// claimsComplete reports whether a caller takes the response for a whole one that its sender marked as such.
+func (r response) claimsComplete() bool {
+	return r.err == nil && r.status == http.StatusOK && !r.unframed
 }
 
 // newRequest returns a request with a valid key and a unique ID. header holds names and values of further header fields
@@ -75,7 +82,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(b), err: err}
+	return response{
+		status: resp.StatusCode, header: resp.Header, body: string(b), err: err,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}
 }
 
 // call sends a request with a short body and the given header fields.
