--- a/agent/invoker/invoker.go
+++ b/agent/invoker/invoker.go
@@ -11,10 +11,13 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/pkg/deduplicator"
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
@@ -26,7 +29,7 @@
 	// quorum is how many of the three agents of a key must store its record before the call runs. Any two runs of a key
 	// would then need a common agent, which rejects the second one.
 	quorum = 2
-	// maxAnswerBytes is the largest answer of the service; a longer one is truncated.
+	// maxAnswerBytes is the largest answer of the service.
 	maxAnswerBytes = 1 << 20
 )
 
@@ -48,7 +51,9 @@
 	// incarnation is the ID of this run of the agent's process. It marks the records of calls that run here.
 	incarnation string
 	httpClient  *http.Client
-	sendMirror  MirrorFunc
+	// prober tells whether the service has crashed.
+	prober     *prober.Prober
+	sendMirror MirrorFunc
 	// createdAt is when the invoker was created; the times of records count from it.
 	createdAt time.Time
 	// warmupPeriod is how long after its start an invoker runs no call with a key that has no mirrors. The call may
@@ -70,10 +75,20 @@
 ) *Invoker {
 	return &Invoker{
 		serviceURL: serviceURL, incarnation: incarnation, httpClient: client, sendMirror: m, createdAt: time.Now(),
-		warmupPeriod: warmupPeriod, records: records,
+		warmupPeriod: warmupPeriod, records: records, prober: prober.New(connect),
 	}
 }
 
+// connect opens a connection to an address and closes it again.
+func connect(ctx context.Context, address string) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // Drain makes the invoker refuse new calls. Calls in progress continue.
 func (i *Invoker) Drain() {
 	i.mu.Lock()
@@ -95,7 +110,7 @@
 	draining := i.draining
 	i.mu.Unlock()
 	if draining {
-		return i.newResponse(fleet.CallNotExecuted, "")
+		return i.newResponse(fleet.CallNotExecuted, deduplicator.Result{})
 	}
 	if call.ReadOnly || call.IdempotencyKey == "" {
 		return i.run(ctx, call)
@@ -115,7 +130,7 @@
 	}
 	switch m.Phase {
 	case phaseDone:
-		i.records.Finish(id, record, m.Result, i.now())
+		i.records.Finish(id, record, resultOf(m), i.now())
 	case phaseDrop:
 		i.records.Forget(id, m.RunnerIncarnation)
 	default:
@@ -142,14 +157,14 @@
 	existing, found, ok := i.records.Put(id, record, i.now())
 	i.mu.Unlock()
 	if !ok {
-		return i.newResponse(fleet.CallNotExecuted, "")
+		return i.newResponse(fleet.CallNotExecuted, deduplicator.Result{})
 	}
 	if found {
 		return i.answerFromRecord(existing, call, record)
 	}
 	if len(call.MirrorAgents) == 0 && i.now() < i.warmupPeriod {
 		i.dropRecord(ctx, id, call)
-		return i.newResponse(fleet.CallUnknown, "")
+		return i.newResponse(fleet.CallUnknown, deduplicator.Result{})
 	}
 	acks, earlier := i.mirrorNewRecord(ctx, call)
 	if earlier != nil {
@@ -157,7 +172,7 @@
 	}
 	if len(call.MirrorAgents) > 0 && acks+1 < quorum {
 		i.dropRecord(ctx, id, call)
-		return i.newResponse(fleet.CallNotExecuted, "")
+		return i.newResponse(fleet.CallNotExecuted, deduplicator.Result{})
 	}
 	response := i.run(ctx, call)
 	i.recordOutcome(ctx, id, record, call, response)
@@ -171,15 +186,15 @@
 ) fleet.CallResponse {
 	switch {
 	case existing.BodyDigest != call.BodyDigest:
-		return i.newResponse(fleet.CallConflict, "")
+		return i.newResponse(fleet.CallConflict, deduplicator.Result{})
 	case existing.Phase == deduplicator.Done:
 		response := i.newResponse(fleet.CallDone, existing.Result)
 		response.Replayed = true
 		return response
 	case existing.RunnerIncarnation == own.RunnerIncarnation:
-		return i.newResponse(fleet.CallRunning, "")
+		return i.newResponse(fleet.CallRunning, deduplicator.Result{})
 	default:
-		return i.newResponse(fleet.CallUnknown, "")
+		return i.newResponse(fleet.CallUnknown, deduplicator.Result{})
 	}
 }
 
@@ -199,7 +214,7 @@
 func (i *Invoker) mirrorNewRecord(
 	ctx context.Context, call fleet.CallRequest,
 ) (acks int, earlier *deduplicator.Record) {
-	for _, existing := range i.broadcast(ctx, call, phaseBegin, "") {
+	for _, existing := range i.broadcast(ctx, call, phaseBegin, deduplicator.Result{}) {
 		switch {
 		case existing == nil || existing.Phase == phaseDrop:
 		case existing.RunnerIncarnation == "":
@@ -216,12 +231,14 @@
 
 // broadcast sends a mirror message to all mirrors at the same time and returns their responses in the order of
 // call.MirrorAgents. A response is nil if the mirror did not respond within mirrorTimeout.
-func (i *Invoker) broadcast(ctx context.Context, call fleet.CallRequest, phase, result string) []*fleet.MirrorUpdate {
+func (i *Invoker) broadcast(
+	ctx context.Context, call fleet.CallRequest, phase string, result deduplicator.Result,
+) []*fleet.MirrorUpdate {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), mirrorTimeout)
 	defer cancel()
 	message := fleet.MirrorUpdate{
 		Account: call.Account, IdempotencyKey: call.IdempotencyKey, BodyDigest: call.BodyDigest, Phase: phase,
-		Result: result, RunnerIncarnation: i.incarnation,
+		Result: result.Text, EndUnmarked: result.EndUnmarked, RunnerIncarnation: i.incarnation,
 	}
 	responses := make([]*fleet.MirrorUpdate, len(call.MirrorAgents))
 	var wg sync.WaitGroup
@@ -245,10 +262,11 @@
 ) {
 	switch response.Outcome {
 	case fleet.CallDone:
+		result := deduplicator.Result{Text: response.Result, EndUnmarked: response.EndUnmarked}
 		i.mu.Lock()
-		i.records.Finish(id, record, response.Result, i.now())
+		i.records.Finish(id, record, result, i.now())
 		i.mu.Unlock()
-		i.broadcast(ctx, call, phaseDone, response.Result)
+		i.broadcast(ctx, call, phaseDone, result)
 	case fleet.CallNotExecuted:
 		i.dropRecord(ctx, id, call)
 	default:
@@ -265,12 +283,12 @@
 	i.mu.Lock()
 	i.records.Forget(id, i.incarnation)
 	i.mu.Unlock()
-	i.broadcast(ctx, call, phaseDrop, "")
+	i.broadcast(ctx, call, phaseDrop, deduplicator.Result{})
 }
 
 // run sends a call to the service once. The outcome is CallNotExecuted only if the request could not be created or the
 // connection to the service could not be opened, because only then the call certainly did not run. The outcome is
-// CallUnknown after a response with a status other than 2xx.
+// CallUnknown after a response with a status other than 2xx and after an answer that is not whole.
 func (i *Invoker) run(ctx context.Context, call fleet.CallRequest) fleet.CallResponse {
 	method := http.MethodPost
 	if call.ReadOnly {
@@ -281,26 +299,32 @@
 	target := i.serviceURL + "/calls/" + url.PathEscape(call.Name)
 	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(call.Body))
 	if err != nil {
-		return i.newResponse(fleet.CallNotExecuted, "")
+		return i.newResponse(fleet.CallNotExecuted, deduplicator.Result{})
 	}
 	req.GetBody = nil // net/http never resends a request without GetBody.
 	req.Header.Set("X-Account", call.Account)
 	resp, err := i.httpClient.Do(req)
 	if err != nil {
-		return i.newResponse(outcomeOf(err), "")
+		return i.newResponse(outcomeOf(err), deduplicator.Result{})
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil || resp.StatusCode/100 != 2 {
-		return i.newResponse(fleet.CallUnknown, "")
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	// A compressed body marks its end by itself.
+	unmarked := !resp.Uncompressed && !delimiter.New(resp).MarksEnd()
+	switch {
+	case err != nil, resp.StatusCode/100 != 2, len(body) > maxAnswerBytes:
+		return i.newResponse(fleet.CallUnknown, deduplicator.Result{})
+	case unmarked && errors.Is(i.prober.Probe(req.URL.Host), syscall.ECONNREFUSED):
+		// The service has crashed, so its connections ended in the middle of what it sent.
+		return i.newResponse(fleet.CallUnknown, deduplicator.Result{})
 	}
-	return i.newResponse(fleet.CallDone, string(body))
+	return i.newResponse(fleet.CallDone, deduplicator.Result{Text: string(body), EndUnmarked: unmarked})
 }
 
 // newResponse returns a response with the outcome and the result. Its load is the present number of calls.
-func (i *Invoker) newResponse(o fleet.CallOutcome, result string) fleet.CallResponse {
+func (i *Invoker) newResponse(o fleet.CallOutcome, result deduplicator.Result) fleet.CallResponse {
 	return fleet.CallResponse{
-		Outcome: o, Result: result, Load: fleet.EncodeLoad(endpoint.Load{UsedSlots: i.ActiveCalls()}),
+		Outcome: o, Result: result.Text, EndUnmarked: result.EndUnmarked, Load: fleet.EncodeLoad(endpoint.Load{UsedSlots: i.ActiveCalls()}),
 	}
 }
 
@@ -327,7 +351,7 @@
 	}
 	return fleet.MirrorUpdate{
 		Account: m.Account, IdempotencyKey: m.IdempotencyKey, BodyDigest: r.BodyDigest, Phase: phase,
-		Result: r.Result, RunnerIncarnation: r.RunnerIncarnation,
+		Result: r.Result.Text, EndUnmarked: r.Result.EndUnmarked, RunnerIncarnation: r.RunnerIncarnation,
 	}
 }
 
@@ -335,7 +359,12 @@
 func fromMirror(m fleet.MirrorUpdate) deduplicator.Record {
 	r := deduplicator.Record{BodyDigest: m.BodyDigest, Phase: deduplicator.Running, RunnerIncarnation: m.RunnerIncarnation}
 	if m.Phase == phaseDone {
-		return r.WithResult(m.Result)
+		return r.WithResult(resultOf(m))
 	}
 	return r
 }
+
+// resultOf returns the answer in a mirror message.
+func resultOf(m fleet.MirrorUpdate) deduplicator.Result {
+	return deduplicator.Result{Text: m.Result, EndUnmarked: m.EndUnmarked}
+}
--- a/agent/invoker/invoker_test.go
+++ b/agent/invoker/invoker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 type agentTrio struct {
 	t        *testing.T
 	service  *plain.Service
+	server   *httptest.Server
 	url      string
 	invokers map[string]*Invoker
 	// unreachable holds the agents that the others can't reach.
@@ -32,7 +34,7 @@
 	}
 	server := httptest.NewServer(trio.service.Handler())
 	t.Cleanup(server.Close)
-	trio.url = server.URL
+	trio.server, trio.url = server, server.URL
 	for _, name := range []string{"a", "b", "c"} {
 		trio.restart(name, "1")
 	}
@@ -127,3 +129,41 @@
 	trio.wantCall("c", fleet.CallDone)
 	trio.wantRuns(1)
 }
+
+// TestPartOfAnswerIsRecordedAsWhole guards against an answer that is recorded under its key, and repeated for ever, as
+// whole although nobody marked its end, its service crashed or it is too long.
+func TestPartOfAnswerIsRecordedAsWhole(t *testing.T) {
+	for name, c := range map[string]struct {
+		body     string
+		unframed bool
+		crash    bool
+		want     fleet.CallOutcome
+		unmarked bool
+	}{
+		"framed":           {"answer", false, false, fleet.CallDone, false},
+		"unframed":         {"answer", true, false, fleet.CallDone, true},
+		"service crashed":  {"ans", true, true, fleet.CallUnknown, false},
+		"longest":          {strings.Repeat("x", maxAnswerBytes), false, false, fleet.CallDone, false},
+		"too long":         {strings.Repeat("x", maxAnswerBytes+1), false, false, fleet.CallUnknown, false},
+		"framed and crash": {"answer", false, true, fleet.CallDone, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			trio := newAgentTrio(t)
+			trio.service.SetAnswer(c.body, c.unframed, func() {
+				if c.crash {
+					_ = trio.server.Listener.Close()
+				}
+			})
+			call := fleet.CallRequest{
+				Account: "studio", Service: "bookings", Name: "pay", IdempotencyKey: "k", BodyDigest: 1, MirrorAgents: []string{"b", "c"},
+			}
+			for _, agent := range []string{"a", "b"} {
+				got := trio.invokers[agent].Call(context.Background(), call)
+				if got.Outcome != c.want || got.EndUnmarked != c.unmarked || (c.want == fleet.CallDone && got.Result != c.body) {
+					t.Errorf("agent %s: got outcome %s, unmarked %t, %d bytes", agent, got.Outcome, got.EndUnmarked, len(got.Result))
+				}
+			}
+			trio.wantRuns(1)
+		})
+	}
+}
--- a/api/caller/callerapi/oas_json_gen.go
+++ b/api/caller/callerapi/oas_json_gen.go
@@ -38,13 +38,20 @@
 			s.Replayed.Encode(e)
 		}
 	}
+	{
+		if s.EndUnmarked.Set {
+			e.FieldStart("end_unmarked")
+			s.EndUnmarked.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfCallAnswer = [4]string{
+var jsonFieldsNameOfCallAnswer = [5]string{
 	0: "service",
 	1: "call",
 	2: "result",
 	3: "replayed",
+	4: "end_unmarked",
 }
 
 // Decode decodes CallAnswer from json.
@@ -102,6 +109,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"replayed\"")
 			}
+		case "end_unmarked":
+			if err := func() error {
+				s.EndUnmarked.Reset()
+				if err := s.EndUnmarked.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"end_unmarked\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/api/caller/callerapi/oas_schemas_gen.go
+++ b/api/caller/callerapi/oas_schemas_gen.go
@@ -44,6 +44,9 @@
 	Call     string  `json:"call"`
 	Result   string  `json:"result"`
 	Replayed OptBool `json:"replayed"`
+	// The service sent its answer without a length and without chunks, so that nobody marked its end. The
+	// result may be a part of the answer.
+	EndUnmarked OptBool `json:"end_unmarked"`
 }
 
 // GetService returns the value of Service.
@@ -66,6 +69,11 @@
 	return s.Replayed
 }
 
+// GetEndUnmarked returns the value of EndUnmarked.
+func (s *CallAnswer) GetEndUnmarked() OptBool {
+	return s.EndUnmarked
+}
+
 // SetService sets the value of Service.
 func (s *CallAnswer) SetService(val string) {
 	s.Service = val
@@ -86,6 +94,11 @@
 	s.Replayed = val
 }
 
+// SetEndUnmarked sets the value of EndUnmarked.
+func (s *CallAnswer) SetEndUnmarked(val OptBool) {
+	s.EndUnmarked = val
+}
+
 // Ref: #/components/schemas/CallRequest
 type CallRequest struct {
 	Amount OptInt    `json:"amount"`
--- a/gateway/server/services.go
+++ b/gateway/server/services.go
@@ -73,6 +73,9 @@
 	if a.Outcome == fleet.CallDone {
 		s.Stats.Answers.Add(1)
 		answer := &callerapi.CallAnswer{Service: call.Service, Call: call.Name, Result: a.Result}
+		if a.EndUnmarked {
+			answer.EndUnmarked = callerapi.NewOptBool(true)
+		}
 		if a.Replayed {
 			answer.Replayed = callerapi.NewOptBool(true)
 			settle(cost)
--- a/pkg/deduplicator/deduplicator.go
+++ b/pkg/deduplicator/deduplicator.go
@@ -28,19 +28,26 @@
 	Key string
 }
 
+// Result is the answer of a call.
+type Result struct {
+	Text string
+	// EndUnmarked is set if the service did not mark the end of its answer, so that Text may be a part of it.
+	EndUnmarked bool
+}
+
 // Record describes the call that was made with a key.
 type Record struct {
 	// BodyDigest is the digest of the request body. A call with the same key and another body is a conflict.
 	BodyDigest uint64
 	Phase      Phase
 	// Result is the answer of the call, if Phase is Done.
-	Result string
+	Result Result
 	// RunnerIncarnation identifies the incarnation of the agent that runs the call.
 	RunnerIncarnation string
 }
 
 // WithResult returns a copy of the record in phase Done with the given result.
-func (r Record) WithResult(result string) Record {
+func (r Record) WithResult(result Result) Record {
 	r.Phase = Done
 	r.Result = result
 	return r
@@ -91,7 +98,7 @@
 
 // Finish stores the result of the call that r describes. It creates the record if there is none, and does nothing if
 // the existing one belongs to another runner or the limit of records is reached.
-func (d *Deduplicator) Finish(id ID, r Record, result string, now time.Duration) {
+func (d *Deduplicator) Finish(id ID, r Record, result Result, now time.Duration) {
 	existing, found, ok := d.Put(id, r.WithResult(result), now)
 	if !ok || !found || existing.RunnerIncarnation != r.RunnerIncarnation {
 		return
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -167,6 +167,8 @@
 type CallResponse struct {
 	Outcome CallOutcome `json:"outcome"`
 	Result  string      `json:"result,omitempty"`
+	// EndUnmarked is set if the service did not mark the end of its answer, so that Result may be a part of it.
+	EndUnmarked bool `json:"unmarked,omitempty"`
 	// Replayed means that Result comes from the record of an earlier run.
 	Replayed bool `json:"replayed,omitempty"`
 	Load     Load `json:"load"`
@@ -182,6 +184,8 @@
 	// Phase is begin before the call runs, done with its result, and drop to remove the record of a call that did not run.
 	Phase  string `json:"phase"`
 	Result string `json:"result,omitempty"`
+	// EndUnmarked is set if the service did not mark the end of the answer in Result.
+	EndUnmarked bool `json:"unmarked,omitempty"`
 	// RunnerIncarnation is the incarnation of the agent that runs the call.
 	RunnerIncarnation string `json:"runner"`
 }
--- a/standin/plain/plain.go
+++ b/standin/plain/plain.go
@@ -31,6 +31,11 @@
 	executions []Execution
 	// failuresLeft is how many of the next POST calls run but get no response.
 	failuresLeft int
+	// answer is the body of all answers, unless it is empty. It is sent without a length or chunks if unframed is set.
+	answer   string
+	unframed bool
+	// afterAnswer, if not nil, is called after an answer has been written.
+	afterAnswer func()
 }
 
 // New returns a service whose calls take callDuration each.
@@ -61,6 +66,14 @@
 	p.failuresLeft = n
 }
 
+// SetAnswer sets the body of all answers, and whether they have neither a length nor chunks. afterAnswer, if not nil, is
+// called after each of them, before its connection ends.
+func (p *Service) SetAnswer(body string, unframed bool, afterAnswer func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answer, p.unframed, p.afterAnswer = body, unframed, afterAnswer
+}
+
 // serveCall executes one call. A call whose body can't be read is not executed.
 func (p *Service) serveCall(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
@@ -72,7 +85,20 @@
 	if abort {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprintf(w, "%s #%d", r.PathValue("name"), executionCount)
+	p.mu.Lock()
+	answer, unframed, afterAnswer := p.answer, p.unframed, p.afterAnswer
+	p.mu.Unlock()
+	if answer == "" {
+		answer = fmt.Sprintf("%s #%d", r.PathValue("name"), executionCount)
+	}
+	if unframed {
+		// net/http then sends neither a length nor chunks.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	_, _ = io.WriteString(w, answer)
+	if afterAnswer != nil {
+		afterAnswer()
+	}
 }
 
 // recordExecution records a call and returns the number of executions so far; abort is set when the call must get no
