--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/process/daemon"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/forwarder"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/responder"
 	"github.com/pistachiovane/pistachiovane/platform"
 	"github.com/pistachiovane/pistachiovane/service/meter"
 	"github.com/pistachiovane/pistachiovane/service/operator"
@@ -178,6 +179,7 @@
 	callerServer := &http.Server{
 		Handler:           platform.NewIngress(daemon.RequestHandler{Daemon: d}, bodyReadTimeout),
 		ReadHeaderTimeout: headerReadTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: responder.WithConn,
 	}
 	readinessServer := &http.Server{Handler: platform.NewReadiness(d.Ready), ReadHeaderTimeout: headerReadTimeout}
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -158,29 +158,20 @@
 		return
 	}
 	seal, sealed := strings.CutPrefix(response.Header.Get(serverSealHeader), "s.")
+	plain := "answer of " + seal + " to " + r.ID
+	unmarked := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	whole := plain
+	if isStream {
+		whole = wholeStream(r.ID)
+	}
 	switch {
 	case !sealed:
 		r.Defect = "the response has no server seal"
-	case string(body) == "answer of "+seal+" to "+r.ID:
+	case string(body) == whole, string(body) == plain:
 		// A stand-in with a fault may send a plain response to a streaming route; gateways forward it unchanged.
-	case isStream:
-		r.Defect = streamDefect(string(body), r.ID)
+	case unmarked && isPartOfAnswer(string(body), whole, isStream):
+		r.IsPart = true
 	default:
 		r.Defect = fmt.Sprintf("got %q sealed by %s", body, seal)
 	}
 }
-
-// streamDefect returns what is wrong with the body of a stream that ended as complete, and an empty string when
-// nothing is.
-func streamDefect(body, id string) string {
-	events := strings.Split(strings.TrimSuffix(body, "\n\n"), "\n\n")
-	for i, e := range events {
-		if want := fmt.Sprintf("id: %d\ndata: piece %d to %s", i+1, i+1, id); e != want {
-			return fmt.Sprintf("event %d is %q", i+1, e)
-		}
-	}
-	if len(events) != eventsPerStream {
-		return fmt.Sprintf("%d events of %d", len(events), eventsPerStream)
-	}
-	return ""
-}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -46,6 +46,7 @@
 // run injects 8 to 15 faults, each one to three times, starting at random times within the duration. It returns when
 // all have ended, with the first error.
 func (i *injector) run(duration time.Duration) error {
+	i.testbed.cutsAnswers.Store(true)
 	faults := 8 + i.rng.IntN(8)
 	for range faults {
 		delay := time.Duration(i.rng.Int64N(int64(duration)))
@@ -61,6 +62,7 @@
 		}()
 	}
 	i.wait.Wait()
+	i.testbed.cutsAnswers.Store(false)
 	i.testbed.clearPendingFaults()
 	close(i.errs)
 	return <-i.errs
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -119,12 +119,18 @@
 	faultCounts map[string]int
 	checkCounts map[string]int
 	findings    []verifier.Finding
+	// stalls is how often the soak itself got no time, and longestGap the longest time between two ticks of its loop.
+	stalls     int
+	longestGap time.Duration
 }
 
 // print prints a summary line and one line for each finding.
 func (r report) print() {
 	fmt.Printf("seed %d: %d requests, %d served; injected %s; checked %s; %d findings\n",
 		r.seed, r.requests, r.served, formatCounts(r.faultCounts), formatCounts(r.checkCounts), len(r.findings))
+	if r.stalls > 0 {
+		fmt.Printf("  the soak itself stalled %d times, for up to %v: the machine, not the gateways\n", r.stalls, r.longestGap)
+	}
 	for _, f := range r.findings {
 		fmt.Println("  " + f.String())
 	}
@@ -168,6 +174,8 @@
 			run(stop)
 		}()
 	}
+	ticks := &ticker{log: b.log}
+	start(ticks.run)
 	start(b.runProbe)
 	start(b.runHeartbeat)
 	if !b.awaitAllReady(startTimeout) {
@@ -189,6 +197,7 @@
 	wait.Wait()
 	time.Sleep(lateWorkGrace)
 	r.verify(b, recoveredAt)
+	r.stalls, r.longestGap = ticks.stalls, ticks.longest
 	if len(r.findings) > 0 && err == nil {
 		err = a.keepLogs(dir, seed)
 	}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -14,6 +14,9 @@
 	36:  "the soak's final check cancelled its request, as callers do; the gateway retried the call",
 	52:  "as seed 36",
 	400: "an endpoint still had pending faults when every request had to be served again",
+	// The kernel closed the connections of a killed gateway in the ordinary way.
+	7001: "a killed gateway ended an answer without length or chunks as if it were whole",
+	7004: "as seed 7001",
 }
 
 // TestPromisesHoldUnderFaults guards against gateways that break a promise under faults, such as running a request
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -68,6 +69,9 @@
 type testbed struct {
 	// slot is different for parallel testbeds.
 	slot int
+	seed uint64
+	// cutsAnswers is set while endpoints break off some of their answers.
+	cutsAnswers atomic.Bool
 	// dir holds the settings and logs of the gateways and the log of the faults.
 	dir      string
 	log      *log.Logger
@@ -98,7 +102,7 @@
 // parallel testbeds apart.
 func newTestbed(program, dir string, seed uint64, slot, gateways int) (*testbed, error) {
 	b := &testbed{
-		slot: slot, dir: dir, log: &log.Logger{Writer: &log.FileWriter{Filename: filepath.Join(dir, "faults.log")}},
+		slot: slot, seed: seed, dir: dir, log: &log.Logger{Writer: &log.FileWriter{Filename: filepath.Join(dir, "faults.log")}},
 		rng:   rand.New(rand.NewPCG(seed, 7)), //nolint:gosec // a seeded test
 		store: standin.NewStore(), keys: map[string][]string{},
 		withdrawnAt: map[string]time.Time{}, leavingSince: map[string]time.Time{}, faultCounts: map[string]int{},
@@ -302,7 +306,8 @@
 				Crashed: crashed && isCrashing(r),
 				Disrupted: crashed || (!r.Complete && !r.CallerDisconnected) ||
 					!b.faultFree(r.StartedAt, endedAt, func(fault string) bool { return fault == "path "+e.ID }),
-				ReceivedKey: r.Header.Get(credentialHeader) != "",
+				EndedUnmarked: endedUnmarked(r),
+				ReceivedKey:   r.Header.Get(credentialHeader) != "",
 			}
 			if r.IsPrefill {
 				h.Prefills = append(h.Prefills, run)
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -142,8 +142,14 @@
 // http.ErrAbortHandler if a response that has begun can't be completed.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, r *Request) {
 	defer f.controller.TrackRequest()()
-	j := &job{Request: r, w: responder.New(w, !r.HTTP10), receivedAt: f.clock()}
+	j := &job{Request: r, w: responder.New(ctx, w, !r.HTTP10), receivedAt: f.clock()}
 	defer f.logOutcome(j)
+	f.serve(ctx, j)
+	j.w.Finish()
+}
+
+// serve is Serve without the log line and the end of the response.
+func (f *Forwarder) serve(ctx context.Context, j *job) {
 	if !f.resolve(j) {
 		return
 	}
--- a/internal/proxy/responder/responder.go
+++ b/internal/proxy/responder/responder.go
@@ -1,30 +1,45 @@
 // Package responder sends a response to a caller. It tells the caller where the response ends only if that is known: a
 // body whose endpoint did not mark its end is sent without a length and without chunks, and ends with the connection.
+// Such a connection is reset unless the response ends as it should, also if this process is killed meanwhile.
 package responder
 
 import (
+	"context"
 	"net"
 	"net/http"
 
 	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 )
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// WithConn is for http.Server.ConnContext: it adds the caller's connection to the context of its requests.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // Responder sends one response. It is not safe for concurrent use.
 type Responder struct {
 	w http.ResponseWriter
-	// controller flushes the response and takes over its connection.
+	// controller flushes the response.
 	controller *http.ResponseController
+	// conn is the caller's connection, or nil if it is not known.
+	conn *net.TCPConn
 	// hasChunks is set if the caller understands chunks.
 	hasChunks bool
-	// headSent is set once the head has been passed on. Then marksEnd is set if the caller can
-	// tell the end of the body from a connection that broke off.
+	// headSent is set once the head has been passed on. Then marksEnd is set if the caller can tell the end of the body
+	// from a connection that broke off.
 	headSent bool
 	marksEnd bool
 }
 
-// New returns a responder that sends through w. hasChunks is false for callers of HTTP/1.0.
-func New(w http.ResponseWriter, hasChunks bool) *Responder {
-	return &Responder{w: w, controller: http.NewResponseController(w), hasChunks: hasChunks}
+// New returns a responder that sends through w. ctx is the context of the request. hasChunks is false for callers of
+// HTTP/1.0.
+func New(ctx context.Context, w http.ResponseWriter, hasChunks bool) *Responder {
+	r := &Responder{w: w, controller: http.NewResponseController(w), hasChunks: hasChunks}
+	r.conn, _ = ctx.Value(connKey{}).(*net.TCPConn)
+	return r
 }
 
 // Header returns the header, to be changed before WriteHead.
@@ -44,6 +59,9 @@
 		r.w.Header().Del("Content-Length")
 	}
 	r.headSent = true
+	if !r.marksEnd {
+		r.setResetOnClose(true)
+	}
 	r.w.WriteHeader(status)
 }
 
@@ -68,24 +86,32 @@
 	return r.controller.Flush()
 }
 
-// Abort ends a response that is not complete, by a panic with http.ErrAbortHandler, which closes the connection. Where
-// the end of the connection would be the end of the body, the connection is reset.
-func (r *Responder) Abort() {
-	if r.headSent && !r.marksEnd {
-		r.reset()
+// Finish must be called when the response has ended as it should.
+func (r *Responder) Finish() {
+	if !r.headSent || r.marksEnd {
+		return
 	}
+	if err := r.Flush(); err != nil {
+		// The caller has gone; there is nobody to whom the end could be shown.
+		return
+	}
+	r.setResetOnClose(false)
+}
+
+// Abort ends a response that is not complete, by a panic with http.ErrAbortHandler, which closes the connection.
+func (r *Responder) Abort() {
 	panic(http.ErrAbortHandler)
 }
 
-// reset resets the connection. What the caller has not received yet may be lost.
-func (r *Responder) reset() {
-	c, _, err := r.controller.Hijack()
-	if err != nil {
-		// Not a connection of HTTP/1; the panic of Abort ends the stream with an error.
+// setResetOnClose sets whether the caller's connection is reset when it is closed, by this process or by the end of it.
+func (r *Responder) setResetOnClose(reset bool) {
+	if r.conn == nil {
 		return
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	seconds := -1
+	if reset {
+		seconds = 0
 	}
-	_ = c.Close()
+	// The only possible error is that the connection is closed already.
+	_ = r.conn.SetLinger(seconds)
 }
--- a/internal/soak/verifier/verifier.go
+++ b/internal/soak/verifier/verifier.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 )
@@ -37,6 +38,8 @@
 	Status int
 	// Defect describes what is wrong with a response of status 200; it is empty when nothing is.
 	Defect string
+	// IsPart is set if a response of status 200 is only a part of the answer, and the caller was not told that it is whole.
+	IsPart bool
 	// CrashesAs names the requests with the same account, target and body, which crash each endpoint that runs them. It is
 	// empty for requests that do no harm.
 	CrashesAs string
@@ -57,6 +60,8 @@
 	Disrupted bool
 	// Crashed is set when the run crashed the endpoint.
 	Crashed bool
+	// EndedUnmarked is set if the endpoint broke off its answer in a way that can't be told from the end of a whole one.
+	EndedUnmarked bool
 	// ReceivedKey is set when the gateway passed the caller's API key on to the endpoint.
 	ReceivedKey bool
 }
@@ -200,6 +205,8 @@
 	}
 	if r.Status == http.StatusOK {
 		v.expect(r.Defect == "", "own whole answer", r.ID, "%s", r.Defect)
+		v.expect(!r.IsPart || slices.ContainsFunc(runs, func(r Run) bool { return r.EndedUnmarked }), "ends not marked", r.ID,
+			"got a part of the answer, although what its endpoint sent was marked")
 	}
 	if !v.history.RecoveredAt.IsZero() && r.SentAt.After(v.history.RecoveredAt) && r.CancelledAt.IsZero() &&
 		v.mustBeServed(r) {
--- a/internal/soak/verifier/verifier_test.go
+++ b/internal/soak/verifier/verifier_test.go
@@ -96,6 +96,7 @@
 		"true refusals": func(h *verifier.History) {
 			h.Runs = append(h.Runs, verifier.Run{ID: "c", Account: "acc", Endpoint: "e2", StartedAt: at(200), EndedAt: at(300)})
 		},
+		"ends not marked":   func(h *verifier.History) { h.Requests[0].IsPart = true },
 		"own whole answer":  func(h *verifier.History) { h.Requests[0].Defect = "another request's answer" },
 		"own account":       func(h *verifier.History) { h.Runs[0].Account = "other" },
 		"keys stay here":    func(h *verifier.History) { h.Runs[0].ReceivedKey = true },
