--- a/cmd/pistachiovane/cmds/edge.go
+++ b/cmd/pistachiovane/cmds/edge.go
@@ -155,7 +155,7 @@
 		clock.SinceBoot)
 	storePool := exchanger.New(exchanger.Options{DialTimeout: endpointDialTimeout, IdleTimeout: storeIdleTimeout},
 		clock.SinceBoot)
-	endpointClient := platform.NewEndpointClient(pool)
+	endpointClient := platform.NewEndpointClient(pool, clock.SinceBoot)
 	return daemon.Dependencies{
 		Store:        platform.NewStoreClient(storePool, s.StoreAddr),
 		ConfigPrefix: platform.PrefixConfig, ConfigKey: platform.KeyConfig,
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
@@ -122,7 +123,7 @@
 	crashRetention = 24 * time.Hour
 	// maxCrashRecords limits the requests that are remembered because crashes count against them.
 	maxCrashRecords = 4096
-	// sweepInterval is how often expired idle connections are closed.
+	// sweepInterval is how often expired idle connections are closed and ended pauses of endpoints are logged.
 	sweepInterval = time.Second
 	// drainPollInterval is how often a stopping process checks whether its requests have ended.
 	drainPollInterval = 50 * time.Millisecond
@@ -172,10 +173,11 @@
 		tracker: tracker.New(clock.SinceBoot), lister: lister.New(),
 		listConfirmer: confirmer.New(confirmerOptions(), clock.SinceBoot()),
 	}
+	suspensions := suspender.New(newRand())
 	d.controller = controller.New(controller.Components{
-		Clock: clock.SinceBoot, Tracker: d.tracker,
-		Planner:  planner.New(plannerOptions(o.Domain), newRand()),
-		Balancer: balancer.New(o.Domain, newRand()), Capper: capper.New(o.Limits, clock.SinceBoot()),
+		Clock: clock.SinceBoot, Tracker: d.tracker, Suspender: suspensions,
+		Planner:  planner.New(plannerOptions(o.Domain, suspensions), newRand()),
+		Balancer: balancer.New(o.Domain, newRand(), suspensions), Capper: capper.New(o.Limits, clock.SinceBoot()),
 		Retrier: retrier.New(o.RetryBudget), Rebalancer: rebalancer.New(rebalancerOptions()),
 		Profiler: profiler.New(profilerOptions()), Fencer: fencer.New(), InitialUsage: initialUsage(o.FirstStart),
 		CrashTracker: crashtracker.New(crashRetention, maxCrashRecords), Log: logger,
@@ -209,7 +211,7 @@
 		stageSwitcher: d.dependencies.StageSwitcher, ready: d.Ready, log: d.log,
 		leaderStatus: func() (bool, int, int) { return d.broadcaster.LeaderStatus(peerTimeout) },
 	})
-	d.supervisor.Add(&connectionSweeper{pool: d.dependencies.ConnectionPool})
+	d.supervisor.Add(&sweeper{pool: d.dependencies.ConnectionPool, controller: d.controller})
 }
 
 // Add adds a service to those that the daemon runs and restarts. It must be called before Serve.
@@ -358,12 +360,16 @@
 	d.log.Info().Int("busy", d.controller.ActiveRequests()).Msg("gateway: drained")
 }
 
-// connectionSweeper closes the idle connections of a pool that have expired.
-type connectionSweeper struct {
-	pool *exchanger.Exchanger
+// sweeper removes what has expired: idle connections of a pool, and pauses of endpoints.
+type sweeper struct {
+	pool       *exchanger.Exchanger
+	controller *controller.Controller
 }
 
-// Serve closes expired connections every sweepInterval until the context ends.
-func (s *connectionSweeper) Serve(ctx context.Context) error {
-	return supervision.Every(ctx, sweepInterval, s.pool.CloseExpired)
+// Serve sweeps every sweepInterval until the context ends.
+func (s *sweeper) Serve(ctx context.Context) error {
+	return supervision.Every(ctx, sweepInterval, func() {
+		s.pool.CloseExpired()
+		s.controller.ExpireSuspensions()
+	})
 }
--- a/internal/process/daemon/options.go
+++ b/internal/process/daemon/options.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 )
 
 // Options are the settings of a gateway.
@@ -47,11 +48,11 @@
 	return confirmer.Options{RepeatTime: changeGossipPeriod - maxTransitTime, MaxAge: maxListAge, ReadInterval: minListReadInterval}
 }
 
-func plannerOptions(domain string) planner.Options {
+func plannerOptions(domain string, s *suspender.Suspender) planner.Options {
 	return planner.Options{
 		Domain: domain, PrefillRate: initialPrefillTokensPerSecond, FirstEventOverhead: 60 * time.Millisecond,
 		MaxPrefillWait: 450 * time.Millisecond, MaxQueueWait: 2500 * time.Millisecond,
-		DecodeRate: initialDecodeTokensPerSecond, MaxMemoryFraction: 0.9, MaxLoadAge: 1500 * time.Millisecond,
+		DecodeRate: initialDecodeTokensPerSecond, MaxMemoryFraction: 0.9, MaxLoadAge: 1500 * time.Millisecond, Suspensions: s,
 	}
 }
 
--- a/internal/process/daemon/state.go
+++ b/internal/process/daemon/state.go
@@ -27,6 +27,10 @@
 	Endpoints         []lister.Endpoint `json:"endpoints"`
 	// Quarantined holds the fingerprints of the requests that are refused because they crash endpoints.
 	Quarantined []string `json:"quarantined"`
+	// PausedEndpoints and LeavingEndpoints count the endpoints that have asked for a pause that lasts, and those that have
+	// said themselves that they leave.
+	PausedEndpoints  int `json:"paused"`
+	LeavingEndpoints int `json:"leaving"`
 	// AvailableTokens holds the available tokens by account.
 	AvailableTokens map[string]float64 `json:"levels"`
 }
@@ -37,6 +41,7 @@
 		Name: d.options.Name, Ready: d.Ready(), OpenRequests: d.controller.ActiveRequests(),
 		QueuedGenerations: d.controller.QueueLength(), AvailableTokens: d.controller.AvailableTokens(),
 	}
+	state.PausedEndpoints, state.LeavingEndpoints = d.controller.SuspendedEndpoints()
 	for _, f := range d.controller.QuarantinedRequests() {
 		state.Quarantined = append(state.Quarantined, f.String())
 	}
@@ -81,6 +86,14 @@
 		gauge("requests.waiting", "Generations that wait for room.", func() float64 {
 			return float64(d.controller.QueueLength())
 		}),
+		gauge("endpoints.paused", "Endpoints that have asked for a pause.", func() float64 {
+			paused, _ := d.controller.SuspendedEndpoints()
+			return float64(paused)
+		}),
+		gauge("endpoints.leaving", "Listed endpoints that have said that they leave.", func() float64 {
+			_, leaving := d.controller.SuspendedEndpoints()
+			return float64(leaving)
+		}),
 		gauge("gateways", "Gateways known.", func() float64 { return float64(d.broadcaster.GatewayCount()) }),
 		gauge("config.version", "Version of the configuration in force.", d.configVersion),
 		gauge("config.age", "Seconds since the configuration was known to be the newest.", d.configAge),
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
 )
 
 const (
@@ -47,6 +48,8 @@
 	outcomeFailed
 	// outcomeQuarantined: nothing was sent, because the request crashes endpoints.
 	outcomeQuarantined
+	// outcomeSuspended: nothing was sent, because the endpoint wants no requests.
+	outcomeSuspended
 	// outcomeAbandoned: the caller's deadline has passed or the caller has disconnected.
 	outcomeAbandoned
 )
@@ -59,14 +62,14 @@
 	executions := 0
 	lastResult := outcomeNotExecuted
 	for n := 0; n < maxEndpointsPerCall; n++ {
-		if f.checkQuarantine(ctx, j) == outcomeQuarantined {
+		if f.checkSend(ctx, j, "") == outcomeQuarantined {
 			f.finishQuarantinedCall(j)
 			return
 		}
 		if n > 0 && lastResult != outcomeUnreachable && !f.controller.SpendRetryBudget(j.service) {
 			break
 		}
-		e := f.takeEndpoint(j, tried)
+		e := f.takeEndpoint(ctx, j, tried)
 		if e == nil {
 			break
 		}
@@ -105,8 +108,10 @@
 		f.relayResponse(j, j.heldFailure.response, j.heldFailure.body)
 	case j.maybeExecuted:
 		f.refuse(j, http.StatusBadGateway, 0, "no other endpoint")
+	case f.timeLeft(j) <= 0:
+		f.refuseAbandoned(j, reasonAbandoned)
 	default:
-		f.refuse(j, http.StatusServiceUnavailable, retryAfterShort, "no endpoint with room")
+		f.refuseWithoutRoom(j, retryAfterShort)
 	}
 }
 
@@ -120,13 +125,15 @@
 	f.refuseQuarantined(j)
 }
 
-// takeEndpoint chooses an endpoint for a call and counts the call there. It returns nil if there is none except those
-// excluded.
-func (f *Forwarder) takeEndpoint(j *job, excluded map[string]bool) (e *balancer.Endpoint) {
-	f.controller.UpdateBalancer(func(b *balancer.Balancer, now time.Duration) {
-		e = b.Acquire(j.service, excluded, now)
-	})
-	return e
+// takeEndpoint chooses an endpoint for a call and counts the call there. It waits for the end of a pause of all endpoints
+// if the call can still be served then. It returns nil if there is no endpoint except those excluded.
+func (f *Forwarder) takeEndpoint(ctx context.Context, j *job, excluded map[string]bool) *balancer.Endpoint {
+	startedAt := f.clock()
+	d := f.controller.AcquireEndpoint(ctx, controller.Call{
+		Account: j.accountName(), Service: j.service, Deadline: j.deadline - j.route.TargetLatency,
+	}, excluded)
+	j.record.queueTime += f.clock() - startedAt
+	return d.Endpoint
 }
 
 // attemptCall sends a call to one endpoint and relays its response. If retryable is set, another endpoint may be tried
@@ -211,6 +218,7 @@
 func (f *Forwarder) classifyResponse(j *job, r *Response, retryable bool) (outcome, []byte) {
 	j.record.attempts++
 	if r.NotExecuted || r.Misdirected {
+		j.record.refusedBy = j.record.endpoint
 		return outcomeNotExecuted, nil
 	}
 	j.maybeExecuted = true
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -68,8 +68,12 @@
 	return recorded
 }
 
-// probe tells the crash tracker whether an endpoint refuses or accepts a connection. It returns true if it refuses it.
+// probe tells the crash tracker whether an endpoint refuses or accepts a connection. It returns true if it refuses it. An
+// endpoint that has asked for a pause is not probed.
 func (f *Forwarder) probe(endpointID, address string) (down bool) {
+	if f.controller.IsPaused(endpointID) {
+		return false
+	}
 	err := f.prober.Probe(address)
 	down = isRefusedConnection(err)
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
@@ -94,16 +98,19 @@
 	})
 }
 
-// checkQuarantine must be called right before a request is sent to an endpoint. It returns outcomeAnswered if it may be
-// sent, outcomeQuarantined if it crashes endpoints, and outcomeAbandoned if the context has ended. If another request is
-// suspected of the same crashes, it waits until the turn of this one.
-func (f *Forwarder) checkQuarantine(ctx context.Context, j *job) outcome {
+// checkSend must be called right before a request is sent to an endpoint, whose ID is empty if it is not chosen yet. It
+// returns outcomeAnswered if the request may be sent, outcomeSuspended if the endpoint wants no requests any more,
+// outcomeQuarantined if the request crashes endpoints, and outcomeAbandoned if the context has ended. If another request
+// is suspected of the same crashes, it waits until the turn of this one.
+func (f *Forwarder) checkSend(ctx context.Context, j *job, endpointID string) outcome {
 	for {
-		v := f.controller.DecideQuarantine(j.fingerprint)
+		v, wanted := f.controller.DecideSend(j.fingerprint, endpointID, j.receivedAt)
 		j.quarantineTime = v.RetryAfter
 		switch {
 		case v.Refused:
 			return outcomeQuarantined
+		case v.RetryAfter == 0 && !wanted:
+			return outcomeSuspended
 		case v.RetryAfter == 0:
 			return outcomeAnswered
 		case v.RetryAfter > f.timeLeft(j):
--- a/internal/proxy/forwarder/ending.go
+++ b/internal/proxy/forwarder/ending.go
@@ -69,9 +69,9 @@
 
 // confirmEnd returns how a body ended whose end is not marked. A process that crashes ends its connections like one that
 // has sent a whole body, but it accepts no further ones. An endpoint that is leaving may exit behind its last response,
-// so its end shows nothing.
+// so its end shows nothing; one that has asked for a pause is not probed.
 func (f *Forwarder) confirmEnd(endpointID, address string) ending {
-	if f.isLeaving(endpointID) {
+	if f.isLeaving(endpointID) || f.controller.IsPaused(endpointID) {
 		return endedUnconfirmed
 	}
 	switch err := f.prober.Probe(address); {
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -62,6 +63,13 @@
 // reasonCallerGone is the logged reason of a request whose caller has disconnected while its response was sent.
 const reasonCallerGone = "caller gone"
 
+// reasonPaused and reasonLeaving are the logged reasons of a request that has no endpoint because all of them have asked
+// for a pause or leave.
+const (
+	reasonPaused  = "endpoints paused"
+	reasonLeaving = "endpoints leaving"
+)
+
 // reasonCrashes is the logged reason of a request that must not be sent because it crashes endpoints.
 const reasonCrashes = "crashes endpoints"
 
@@ -84,10 +92,12 @@
 	Stats Stats
 }
 
-// New returns a forwarder that uses the configuration of the tracker and the decisions of the controller.
+// New returns a forwarder that uses the configuration of the tracker and the decisions of the controller. The controller
+// receives what endpoints say about themselves.
 func New(
 	o Options, c clock.Clock, t *tracker.Tracker, ctrl *controller.Controller, e EndpointClient, l *log.Logger,
 ) *Forwarder {
+	e.Observe(ctrl.RecordSignal)
 	return &Forwarder{
 		options: o, clock: c, tracker: t, controller: ctrl, endpointClient: e,
 		prober: prober.New(e.Connect), log: l, splitSeed: maphash.MakeSeed(),
@@ -278,7 +288,8 @@
 func (f *Forwarder) refuse(j *job, status int, retryAfter time.Duration, reason string) bool {
 	h := j.w.Header()
 	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		// Rounded up, so that nobody comes back too early.
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(retryAfter.Seconds()*100)/100, 'f', 2, 64))
 	}
 	h.Set("Content-Length", "0")
 	j.w.WriteHead(status, delimiter.Length)
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -32,6 +32,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 )
 
 // scriptedEndpoints answers the calls of a forwarder with functions. It counts what is sent.
@@ -40,6 +41,8 @@
 	prefill func(address string) (string, *Response, error)
 	reserve func(address string) (string, error)
 	connect func(address string) error
+	// observe receives what endpoints say about themselves.
+	observe func(suspender.Signal)
 
 	mu       sync.Mutex
 	runs     []string
@@ -74,7 +77,9 @@
 	return s.reserve(address)
 }
 
-func (s *scriptedEndpoints) Release(context.Context, string, string) {}
+func (s *scriptedEndpoints) Release(context.Context, string, string, string) {}
+
+func (s *scriptedEndpoints) Observe(observe func(suspender.Signal)) { s.observe = observe }
 
 func (s *scriptedEndpoints) Prefill(_ context.Context, address string, _ Attempt) (string, *Response, error) {
 	s.mu.Lock()
@@ -86,7 +91,7 @@
 	return s.prefill(address)
 }
 
-func (s *scriptedEndpoints) FreeKVCache(context.Context, string, string) {}
+func (s *scriptedEndpoints) FreeKVCache(context.Context, string, string, string) {}
 
 // sent returns how many runs and prefills were sent.
 func (s *scriptedEndpoints) sent() int {
@@ -117,16 +122,17 @@
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: f.log}}
 	active := tracker.New(clock.SinceBoot)
 	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a seeded test
+	suspensions := suspender.New(random)
 	c := controller.New(controller.Components{
 		Clock: clock.SinceBoot, Tracker: active,
 		Planner: planner.New(planner.Options{
 			Domain: "a", PrefillRate: 50000, DecodeRate: 1550, MaxMemoryFraction: 0.9, MaxPrefillWait: 450 * time.Millisecond,
-			MaxQueueWait: 2500 * time.Millisecond, MaxLoadAge: 1500 * time.Millisecond,
+			MaxQueueWait: 2500 * time.Millisecond, MaxLoadAge: 1500 * time.Millisecond, Suspensions: suspensions,
 		}, random),
-		Balancer: balancer.New("a", random), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
+		Balancer: balancer.New("a", random, suspensions), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
 		Retrier:    retrier.New(retrier.Options{RetriesPerRequest: 1, ExtraRetries: 1000, Window: time.Second}),
 		Rebalancer: rebalancer.New(rebalancer.Options{}), Profiler: profiler.New(profiler.Options{}), Fencer: fencer.New(),
-		CrashTracker: crashtracker.New(time.Hour, 100), Log: logger,
+		CrashTracker: crashtracker.New(time.Hour, 100), Suspender: suspensions, Log: logger,
 	})
 	services := func(name string) []matcher.WeightedService { return []matcher.WeightedService{{Service: name}} }
 	m := matcher.New(matcher.Config{
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
+	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
@@ -57,6 +58,9 @@
 // and returns false.
 func (f *Forwarder) handleDecision(j *job, d planner.Decision) bool {
 	j.record.queueTime = f.clock() - j.receivedAt
+	if d.Suspended {
+		return f.refuseSuspended(j, controller.Pause{EndpointID: d.PausedEndpoint, Rest: d.RetryAfter})
+	}
 	if d.Refused {
 		return f.refuse(j, http.StatusServiceUnavailable, d.RetryAfter, "no room in time")
 	}
@@ -106,7 +110,7 @@
 		switch result {
 		case outcomeAnswered:
 			return
-		case outcomeAbandoned, outcomeQuarantined:
+		case outcomeAbandoned, outcomeQuarantined, outcomeSuspended:
 			f.finishUnansweredGeneration(g, result)
 			return
 		case outcomeBroken, outcomeFailed:
@@ -141,7 +145,7 @@
 	case g.maybeExecuted:
 		f.refuse(g.job, http.StatusBadGateway, 0, "endpoint broke off")
 	default:
-		f.refuse(g.job, http.StatusServiceUnavailable, retryAfterLong, "no endpoint with room")
+		f.refuseWithoutRoom(g.job, retryAfterLong)
 	}
 }
 
@@ -161,15 +165,19 @@
 	})
 }
 
-// decode runs the request at the decode endpoint of the plan, unless it crashes endpoints, and reports what the attempt
-// has shown about the endpoint.
+// decode runs the request at the decode endpoint of the plan, or at another one if that wants no requests any more, unless
+// the request crashes endpoints. It reports what the attempt has shown about the endpoint.
 func (f *Forwarder) decode(ctx context.Context, g *generation) outcome {
-	if result := f.checkQuarantine(ctx, g.job); result != outcomeAnswered {
+	result := f.checkSend(ctx, g.job, g.plan.Decode.ID)
+	for result == outcomeSuspended && f.findPlan(g, false, g.plan.Decode.ID) {
+		result = f.checkSend(ctx, g.job, g.plan.Decode.ID)
+	}
+	if result != outcomeAnswered {
 		return result
 	}
 	e := g.plan.Decode
 	g.contact = contact{endpointID: e.ID, address: e.Address, attemptedAt: f.clock()}
-	result := f.attemptDecode(ctx, g)
+	result = f.attemptDecode(ctx, g)
 	down := f.reportContact(g.job, g.contact)
 	if down && g.contact.response != nil {
 		// The stream had begun. A failure before that has been reported already.
@@ -255,6 +263,7 @@
 func (f *Forwarder) handleDecodeRefusal(g *generation, r *Response, reserved bool) {
 	e := g.plan.Decode
 	full := g.kvSource == "" || (!reserved && r.Slots > 0 && r.InFlight >= r.Slots)
+	g.record.refusedBy = e.ID
 	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Int("status", r.Status).Int("held", r.InFlight).
 		Int("slots", r.Slots).Bool("full", full).Msg("forward: not run")
 	switch {
--- a/internal/proxy/forwarder/ports.go
+++ b/internal/proxy/forwarder/ports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 )
 
 // Request is a caller's decoded request.
@@ -100,10 +101,13 @@
 		ctx context.Context, address, endpointID string, tokens int, ttl time.Duration,
 	) (reservationID string, err error)
 	// Release cancels an unused reservation.
-	Release(ctx context.Context, address, reservationID string)
+	Release(ctx context.Context, address, endpointID, reservationID string)
 	// Prefill runs the prefill of a prompt and returns where its KV cache is kept. kvSource is empty if there is none;
 	// r, if not nil, is then the response that says why.
 	Prefill(ctx context.Context, address string, a Attempt) (kvSource string, r *Response, err error)
 	// FreeKVCache frees a KV cache that no decode endpoint will take.
-	FreeKVCache(ctx context.Context, address, kvSource string)
+	FreeKVCache(ctx context.Context, address, endpointID, kvSource string)
+	// Observe sets the function that receives what endpoints say about themselves in their answers, before the call
+	// that got the answer returns.
+	Observe(observe func(suspender.Signal))
 }
--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -36,7 +36,15 @@
 // caller's context has ended.
 func (f *Forwarder) prefill(ctx context.Context, g *generation) outcome {
 	for g.kvSource == "" && g.plan.Prefill != nil {
-		if result := f.checkQuarantine(ctx, g.job); result != outcomeAnswered {
+		result := f.checkSend(ctx, g.job, g.plan.Prefill.ID)
+		if result == outcomeSuspended && f.findPlan(g, true, g.plan.Prefill.ID) {
+			continue
+		}
+		if result == outcomeSuspended {
+			g.plan.Prefill = nil
+			return outcomeAnswered
+		}
+		if result != outcomeAnswered {
 			return result
 		}
 		if !f.mayPrefill(g) {
@@ -100,7 +108,7 @@
 		return
 	}
 	f.Stats.WastedPrefills.Add(1)
-	address, kvSource := g.kvHolder.Address, g.kvSource
+	holder, kvSource := *g.kvHolder, g.kvSource
 	g.kvSource = ""
-	go releaseInBackground(f.endpointClient.FreeKVCache, address, kvSource)
+	go f.releaseInBackground(f.endpointClient.FreeKVCache, holder, kvSource)
 }
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // Stats counts requests by outcome, and the work done for them.
@@ -50,6 +52,10 @@
 	timeToHead time.Duration
 	// events counts the stream events sent to the caller.
 	events int
+	// refusedBy is the ID of the latest endpoint that refused the request without running it, and paused the ID of the one
+	// whose pause the caller was told to wait for.
+	refusedBy string
+	paused    string
 }
 
 // LatencyRecorder holds the functions that receive the latencies of requests that an endpoint answered with a status
@@ -79,6 +85,23 @@
 // logOutcome counts a request by its outcome, records its latencies and writes its log line.
 func (f *Forwarder) logOutcome(j *job) {
 	f.recordLatency(j)
+	f.countOutcome(j)
+	e := f.log.Info().Str("id", j.ID)
+	if j.route != nil {
+		e = e.Str("route", j.route.Name).Str("service", j.service)
+	}
+	if j.account != nil {
+		e = e.Str("account", j.account.Name).Int("tokens", j.chargedTokens)
+	}
+	e = addRefusal(e, j)
+	e = addEndpoints(e, j)
+	e.Uint64("version", j.configVersion).Int64("age_ms", j.configAge.Milliseconds()).Int("status", j.record.status).
+		Str("reason", j.record.reason).Int("calls", j.record.attempts).Int64("waited_ms", j.record.queueTime.Milliseconds()).
+		Int("events", j.record.events).Int64("total_ms", (f.clock() - j.receivedAt).Milliseconds()).Msg("forward: done")
+}
+
+// countOutcome counts a request by its outcome.
+func (f *Forwarder) countOutcome(j *job) {
 	switch status := j.record.status; {
 	case status >= 200 && status < 300 && j.record.reason == "":
 		f.Stats.Answered.Add(1)
@@ -87,23 +110,33 @@
 	default:
 		f.Stats.Failed.Add(1)
 	}
-	e := f.log.Info().Str("id", j.ID)
-	if j.route != nil {
-		e = e.Str("route", j.route.Name).Str("service", j.service)
-	}
-	if j.account != nil {
-		e = e.Str("account", j.account.Name).Int("tokens", j.chargedTokens)
-	}
 	if j.record.reason == reasonCrashes {
 		f.Stats.Quarantined.Add(1)
+	}
+}
+
+// addRefusal adds to a log line why a request was refused, if it was.
+func addRefusal(e *log.Entry, j *job) *log.Entry {
+	if j.record.reason == reasonCrashes {
 		e = e.Str("fingerprint", j.fingerprint.String())
 	}
 	if j.record.requestedTokens > 0 {
 		e = e.Int("asked", j.record.requestedTokens)
 	}
+	if j.record.paused != "" {
+		e = e.Str("paused", j.record.paused)
+	}
 	if j.record.retryAfter > 0 {
 		e = e.Int64("retry_ms", j.record.retryAfter.Milliseconds())
 	}
+	return e
+}
+
+// addEndpoints adds to a log line which endpoints had to do with a request, and how the latest response ended.
+func addEndpoints(e *log.Entry, j *job) *log.Entry {
+	if j.record.refusedBy != "" {
+		e = e.Str("refused_by", j.record.refusedBy)
+	}
 	if j.record.prefillEndpoint != "" {
 		e = e.Str("prefill", j.record.prefillEndpoint).Int64("read_ms", j.record.prefillTime.Milliseconds())
 	}
@@ -116,7 +149,5 @@
 	if j.contact.ending > endedComplete {
 		e = e.Str("end", j.contact.ending.String())
 	}
-	e.Uint64("version", j.configVersion).Int64("age_ms", j.configAge.Milliseconds()).Int("status", j.record.status).
-		Str("reason", j.record.reason).Int("calls", j.record.attempts).Int64("waited_ms", j.record.queueTime.Milliseconds()).
-		Int("events", j.record.events).Int64("total_ms", (f.clock() - j.receivedAt).Milliseconds()).Msg("forward: done")
+	return e
 }
--- a/internal/proxy/forwarder/reservation.go
+++ b/internal/proxy/forwarder/reservation.go
@@ -68,14 +68,20 @@
 	if g.reservationID == "" {
 		return
 	}
-	address, reservationID := g.reservedOn.Address, g.reservationID
+	endpoint, reservationID := *g.reservedOn, g.reservationID
 	g.reservationID = ""
-	go releaseInBackground(f.endpointClient.Release, address, reservationID)
+	go f.releaseInBackground(f.endpointClient.Release, endpoint, reservationID)
 }
 
-// releaseInBackground calls release with its own context, because that of the request may have ended.
-func releaseInBackground(release func(ctx context.Context, address, id string), address, id string) {
+// releaseInBackground calls release with its own context, because that of the request may have ended. An endpoint that has
+// asked for a pause is not called: it frees what is not used by itself.
+func (f *Forwarder) releaseInBackground(
+	release func(ctx context.Context, address, endpointID, id string), e planner.Endpoint, id string,
+) {
+	if f.controller.IsPaused(e.ID) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	release(ctx, address, id)
+	release(ctx, e.Address, e.ID, id)
 }
--- a/internal/routing/balancer/balancer.go
+++ b/internal/routing/balancer/balancer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/routing/ejector"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 )
 
@@ -84,15 +85,18 @@
 	// arrivals counts the recent requests of this gateway by service.
 	arrivals map[string]decayer.Sum
 	rand     *rand.Rand
+	// suspensions knows the endpoints that want no requests.
+	suspensions *suspender.Suspender
 	// candidates is reused between calls to avoid allocations.
 	candidates []candidate
 }
 
 // New returns a balancer without endpoints for a gateway in the given failure domain. r chooses randomly among
-// endpoints.
-func New(domain string, r *rand.Rand) *Balancer {
+// endpoints. s knows the endpoints that want no requests; nil means that there are none.
+func New(domain string, r *rand.Rand, s *suspender.Suspender) *Balancer {
 	return &Balancer{
 		domain: domain, nodes: map[string]*node{}, gateways: 1, arrivals: map[string]decayer.Sum{}, rand: r,
+		suspensions: s,
 	}
 }
 
@@ -128,7 +132,7 @@
 
 // Acquire chooses an endpoint of a service and counts a request on it until Release. Endpoints in excludedIDs, which
 // have failed the request before, are not chosen. Ejected endpoints are chosen only if there is no other, because
-// all may be ejected and one of them may work again. Acquire returns nil if all endpoints are excluded or none
+// all may be ejected and one of them may work again. Acquire returns nil if all endpoints are excluded or paused or none
 // exists.
 func (b *Balancer) Acquire(service string, excludedIDs map[string]bool, now time.Duration) *Endpoint {
 	b.arrivals[service] = b.arrivals[service].With(1, arrivalDecayTime, now)
@@ -154,7 +158,12 @@
 		if n.Service != service || n.removed || excludedIDs[n.ID] || (!includeEjected && now < n.ejectedUntil) {
 			continue
 		}
-		b.candidates = append(b.candidates, candidate{node: n})
+		slots, isRamping := b.suspensions.Slots(n.ID, max(1, n.Slots), now)
+		if isRamping && n.ownRequests >= slots {
+			// The endpoint is paused, or gets its work in steps after a pause.
+			continue
+		}
+		b.candidates = append(b.candidates, candidate{node: n, slots: float64(slots)})
 		age := now - n.reportedAt
 		reportAge += min(age, maxReportAge)
 		if age < maxReportAge {
@@ -167,17 +176,39 @@
 	}
 	meanPeerRequests := float64(knownRequests) / float64(max(1, known))
 	for i := range b.candidates {
-		b.candidates[i].cost = b.cost(b.candidates[i].node, meanPeerRequests, now)
+		b.candidates[i].cost = b.cost(b.candidates[i], meanPeerRequests, now)
 	}
 	meanAge := reportAge / time.Duration(len(b.candidates))
 	peerRate := b.arrivals[service].Value(arrivalDecayTime, now) / arrivalDecayTime.Seconds() * float64(b.gateways-1)
 	return b.pick(1 + peerRate*meanAge.Seconds())
 }
 
-// candidate is an endpoint that may be chosen and its cost.
+// ResumesAt returns the endpoint of a service whose pause ends first, and the time at which it does. ok is false if an
+// endpoint is neither paused nor limited after a pause, or if there is none.
+func (b *Balancer) ResumesAt(service string, now time.Duration) (endpointID string, at time.Duration, ok bool) {
+	if !b.suspensions.HasPauses(now) {
+		return "", 0, false
+	}
+	for _, n := range b.sortedNodes {
+		if n.Service != service || n.removed {
+			continue
+		}
+		if _, isRamping := b.suspensions.Slots(n.ID, 1, now); !isRamping {
+			return "", 0, false
+		}
+		if until := b.suspensions.PausedUntil(n.ID); !ok || until < at {
+			endpointID, at, ok = n.ID, until, true
+		}
+	}
+	return endpointID, at, ok
+}
+
+// candidate is an endpoint that may be chosen and its cost. slots is the number of its slots that may be used, at least
+// one.
 type candidate struct {
-	node *node
-	cost float64
+	node  *node
+	slots float64
+	cost  float64
 }
 
 // pick draws one of the candidates. unseen is the number of requests of all gateways that the reported loads do not
@@ -189,7 +220,7 @@
 	level := b.candidates[0].cost
 	slots, filled := 0.0, 0
 	for remaining := unseen; filled < len(b.candidates); {
-		slots += b.candidates[filled].node.slots()
+		slots += b.candidates[filled].slots
 		filled++
 		if filled == len(b.candidates) || (b.candidates[filled].cost-level)*slots >= remaining {
 			level += remaining / slots
@@ -200,7 +231,7 @@
 	}
 	draw := b.rand.Float64() * unseen
 	for _, c := range b.candidates[:filled] {
-		draw -= (level - c.cost) * c.node.slots()
+		draw -= (level - c.cost) * c.slots
 		if draw < 0 {
 			return c.node
 		}
@@ -211,7 +242,8 @@
 // cost returns the cost of sending a request to an endpoint: its requests in progress per slot including the new
 // one, increased for another failure domain and for recent failures. An endpoint whose report is too old is assumed to run
 // as many requests of peers as the others do on average, one that has never reported is assumed to run none.
-func (b *Balancer) cost(n *node, meanPeerRequests float64, now time.Duration) float64 {
+func (b *Balancer) cost(c candidate, meanPeerRequests float64, now time.Duration) float64 {
+	n := c.node
 	requests := float64(n.ownRequests + 1)
 	switch {
 	case now-n.reportedAt < maxReportAge:
@@ -219,18 +251,13 @@
 	case n.reportedAt > 0:
 		requests += meanPeerRequests
 	}
-	cost := requests / n.slots()
+	cost := requests / c.slots
 	if n.Domain != b.domain {
 		cost += remoteDomainCost
 	}
 	return cost * (1 + failurePenalty*n.decayedFailureRatio(now))
 }
 
-// slots returns the number of requests that the endpoint runs concurrently, at least one.
-func (n *node) slots() float64 {
-	return float64(max(1, n.Slots))
-}
-
 // decayedFailureRatio returns the failure ratio, which decays while the endpoint gets no requests.
 func (n *node) decayedFailureRatio(now time.Duration) float64 {
 	return n.failureRatio * decayer.Factor(now-n.lastOutcomeAt, failureDecayTime)
--- a/internal/routing/balancer/balancer_test.go
+++ b/internal/routing/balancer/balancer_test.go
@@ -11,7 +11,7 @@
 // newBalancer returns a balancer in failure domain a, with two endpoints of service s, of which near is in the same
 // failure domain, and one endpoint of another service.
 func newBalancer() *balancer.Balancer {
-	b := balancer.New("a", rand.New(rand.NewPCG(1, 1)))
+	b := balancer.New("a", rand.New(rand.NewPCG(1, 1)), nil)
 	b.SetEndpoints([]balancer.Endpoint{
 		{ID: "near", Service: "s", Domain: "a", Slots: 4},
 		{ID: "far", Service: "s", Domain: "b", Slots: 4},
--- a/internal/routing/balancer/fleet_test.go
+++ b/internal/routing/balancer/fleet_test.go
@@ -43,7 +43,7 @@
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var balancers []*balancer.Balancer
 	for g := range gateways {
-		b := balancer.New(fmt.Sprintf("zone%d", g*fleetEndpoints/gateways), rand.New(rand.NewPCG(seed, uint64(g)+2)))
+		b := balancer.New(fmt.Sprintf("zone%d", g*fleetEndpoints/gateways), rand.New(rand.NewPCG(seed, uint64(g)+2)), nil)
 		var list []balancer.Endpoint
 		for e := range fleetEndpoints {
 			list = append(list, balancer.Endpoint{
--- a/internal/routing/controller/controller.go
+++ b/internal/routing/controller/controller.go
@@ -22,6 +22,8 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
+	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
 )
 
 // tickInterval is the interval at which queued generations are reconsidered.
@@ -54,6 +56,8 @@
 	Profiler     *profiler.Profiler
 	Fencer       *fencer.Fencer
 	CrashTracker *crashtracker.CrashTracker
+	// Suspender must be the one that Planner and Balancer use.
+	Suspender *suspender.Suspender
 	// InitialUsage is the use of endpoint time that is assumed until the first generation was measured. Zero means that
 	// nothing is assumed.
 	InitialUsage profiler.Usage
@@ -76,6 +80,7 @@
 	profiler     *profiler.Profiler
 	fencer       *fencer.Fencer
 	crashTracker *crashtracker.CrashTracker
+	suspender    *suspender.Suspender
 	// initialUsage is the assumed use of endpoint time. It is zero once a generation was measured at any gateway.
 	initialUsage profiler.Usage
 	// config is the active configuration, or nil before the first one. endpoints is the endpoint list.
@@ -85,6 +90,10 @@
 	// one, so that delivery under the lock does not block.
 	pendingDecisions map[uint64]chan planner.Decision
 	lastRequestID    uint64
+	// callQueues holds the calls that wait for the end of a pause, by service.
+	callQueues map[string]*scheduler.Scheduler[*waitingCall]
+	// leavingServices holds the services that have endpoints, all of which leave.
+	leavingServices map[string]bool
 	// activeRequests counts the requests in progress.
 	activeRequests int
 	// peers holds the peers that a message was received from.
@@ -101,9 +110,9 @@
 func New(c Components) *Controller {
 	return &Controller{
 		clock: c.Clock, tracker: c.Tracker, planner: c.Planner, balancer: c.Balancer, capper: c.Capper, retrier: c.Retrier,
-		rebalancer: c.Rebalancer, profiler: c.Profiler, fencer: c.Fencer, crashTracker: c.CrashTracker,
+		rebalancer: c.Rebalancer, profiler: c.Profiler, fencer: c.Fencer, crashTracker: c.CrashTracker, suspender: c.Suspender,
 		initialUsage: c.InitialUsage, log: c.Log,
-		pendingDecisions: map[uint64]chan planner.Decision{}, peers: map[string]bool{}, wake: make(chan struct{}, 1),
+		pendingDecisions: map[uint64]chan planner.Decision{}, peers: map[string]bool{}, callQueues: map[string]*scheduler.Scheduler[*waitingCall]{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -131,7 +140,7 @@
 		}
 		c.mu.Lock()
 		c.deliver(c.planner.Tick(c.clock()))
-		queued := c.planner.QueueLength()
+		queued := c.planner.QueueLength() + c.tickCalls(c.clock())
 		c.mu.Unlock()
 		if queued == 0 {
 			return
@@ -160,6 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.endpoints = endpoints
+	c.setSuspenderEndpoints()
 	c.setCrashTrackerEndpoints()
 	c.distributeEndpoints()
 }
@@ -170,10 +180,15 @@
 	var modelEndpoints []planner.Endpoint
 	var plainEndpoints []balancer.Endpoint
 	recent := c.rebalancer.RecentOrders(maxStageChangeTime, c.clock())
+	c.leavingServices = make(map[string]bool)
 	for _, e := range c.endpoints {
-		if e.Leaving {
+		if _, seen := c.leavingServices[e.Service]; !seen {
+			c.leavingServices[e.Service] = true
+		}
+		if c.isLeaving(&e) {
 			continue
 		}
+		c.leavingServices[e.Service] = false
 		if order, ordered := recent[e.ID]; ordered && order.ToPrefill != e.Prefill {
 			// The endpoint is changing its stage and the list still shows the old one.
 			continue
@@ -208,7 +223,7 @@
 	return out
 }
 
-// EndpointCount returns the number of listed endpoints that are not about to stop.
+// EndpointCount returns the number of listed endpoints whose entry does not say that they leave.
 func (c *Controller) EndpointCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -61,7 +61,7 @@
 func (c *Controller) setCrashTrackerEndpoints() {
 	listed := make([]crashtracker.Endpoint, 0, len(c.endpoints))
 	for _, e := range c.endpoints {
-		listed = append(listed, crashtracker.Endpoint{ID: e.ID, StartedAtMs: e.StartedAtMs, Leaving: e.Leaving})
+		listed = append(listed, crashtracker.Endpoint{ID: e.ID, StartedAtMs: e.StartedAtMs, Leaving: c.isLeaving(&e)})
 	}
 	now := c.clock()
 	c.crashTracker.SetEndpoints(listed, now)
--- a/internal/routing/controller/scheduling.go
+++ b/internal/routing/controller/scheduling.go
@@ -14,7 +14,11 @@
 	c.mu.Lock()
 	c.lastRequestID++
 	r.ID = c.lastRequestID
+	allLeave := c.leavingServices[r.Service]
 	c.mu.Unlock()
+	if allLeave {
+		return r.ID, planner.Decision{RequestID: r.ID, Refused: true, RetryAfter: LeavingRetryAfter, Suspended: true}
+	}
 	d := c.submitAndWait(ctx, r.ID, func(now time.Duration) []planner.Decision { return c.planner.Submit(r, now) })
 	c.announcePlan(d.Plan)
 	return r.ID, d
--- a/internal/routing/controller/stages.go
+++ b/internal/routing/controller/stages.go
@@ -39,7 +39,7 @@
 	byService := make(map[string][]rebalancer.Endpoint)
 	addresses := make(map[string]string)
 	for _, e := range c.endpoints {
-		if e.Model && !e.Leaving {
+		if e.Model && !c.isLeaving(&e) && !c.suspender.IsPaused(e.ID, now) {
 			byService[e.Service] = append(byService[e.Service], rebalancer.Endpoint{
 				ID: e.ID, Domain: e.Domain, Prefill: e.Prefill,
 			})
--- a/internal/routing/controller/stages_test.go
+++ b/internal/routing/controller/stages_test.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 	"github.com/pistachiovane/pistachiovane/internal/routing/profiler"
 	"github.com/pistachiovane/pistachiovane/internal/routing/rebalancer"
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 )
 
 // gateway is a controller under test with a clock that the test sets.
@@ -42,7 +43,8 @@
 			Domain: "a", PrefillRate: 50000, DecodeRate: 1550, MaxMemoryFraction: 0.9, MaxPrefillWait: 450 * time.Millisecond,
 			MaxQueueWait: 2500 * time.Millisecond, MaxLoadAge: 1500 * time.Millisecond,
 		}, rand.New(rand.NewPCG(1, 1))),
-		Balancer: balancer.New("a", rand.New(rand.NewPCG(1, 1))), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
+		Suspender: suspender.New(rand.New(rand.NewPCG(1, 1))),
+		Balancer:  balancer.New("a", rand.New(rand.NewPCG(1, 1)), nil), Capper: capper.New(capper.Options{MinGateways: 1}, 0),
 		Retrier: retrier.New(retrier.Options{Window: time.Second}),
 		Rebalancer: rebalancer.New(rebalancer.Options{
 			MinGenerations: 20, PrefillReserve: 0.5, MinGain: 1.1, UrgentGain: 1.5, LeaderSettleTime: 4 * time.Second,
--- a/internal/routing/planner/health.go
+++ b/internal/routing/planner/health.go
@@ -158,9 +158,9 @@
 	}
 }
 
-// available reports whether the endpoint is listed, not known to be full and not ejected because of own failures.
-func (n *node) available(now time.Duration) bool {
-	return !n.removed && now >= n.fullUntil && now >= n.ejectedUntil
+// isAvailable reports whether an endpoint is usable, not known to be full and not ejected because of own failures.
+func (p *Planner) isAvailable(n *node, now time.Duration) bool {
+	return now >= n.fullUntil && now >= n.ejectedUntil && p.isUsable(n, now)
 }
 
 // halfOpen reports whether the endpoint has failed repeatedly and not succeeded since. After its ejection ends, it
--- a/internal/routing/planner/placement.go
+++ b/internal/routing/planner/placement.go
@@ -61,12 +61,13 @@
 	p.candidates = p.candidates[:0]
 	useSharedEjections := p.sharedEjectionsApply(j.Service, Decode, now)
 	for _, n := range p.sortedNodes {
-		if n.Stage != Decode || n.Service != j.Service || n.ID == excludedID || !n.available(now) {
+		if n.Stage != Decode || n.Service != j.Service || n.ID == excludedID || !p.isAvailable(n, now) {
 			continue
 		}
+		slots, _ := p.options.Suspensions.Slots(n.ID, n.Slots, now)
 		runs, peak := p.projectedUsage(n, j, now)
 		memoryFull := float64(peak) > p.options.MaxMemoryFraction*float64(n.MemoryTokens)
-		if runs >= n.Slots || (memoryFull && runs > 0) || (useSharedEjections && n.sharedEjectionActive(runs > 0, now)) {
+		if runs >= slots || (memoryFull && runs > 0) || (useSharedEjections && n.sharedEjectionActive(runs > 0, now)) {
 			continue
 		}
 		cost := max(float64(runs)/float64(n.Slots), float64(peak)/float64(n.MemoryTokens))
@@ -85,7 +86,7 @@
 // prefillAvailable reports whether a prefill endpoint of the failure domain can start a prompt soon.
 func (p *Planner) prefillAvailable(domain, service string, now time.Duration) bool {
 	for _, n := range p.sortedNodes {
-		if n.Stage == Prefill && n.Service == service && n.Domain == domain && n.available(now) &&
+		if n.Stage == Prefill && n.Service == service && n.Domain == domain && p.isAvailable(n, now) &&
 			p.prefillWait(n, now) < remotePrefillDelay {
 			return true
 		}
@@ -100,11 +101,12 @@
 	p.candidates = p.candidates[:0]
 	useSharedEjections := p.sharedEjectionsApply(j.Service, Prefill, now)
 	for _, n := range p.sortedNodes {
-		if n.Stage != Prefill || n.Service != j.Service || n.ID == excludedID || !n.available(now) {
+		if n.Stage != Prefill || n.Service != j.Service || n.ID == excludedID || !p.isAvailable(n, now) {
 			continue
 		}
 		w := p.prefillWait(n, now)
-		if useSharedEjections && n.sharedEjectionActive(w > 0, now) {
+		_, isRamping := p.options.Suspensions.Slots(n.ID, n.Slots, now)
+		if (useSharedEjections && n.sharedEjectionActive(w > 0, now)) || (isRamping && w > 0) {
 			continue
 		}
 		cost := w + p.prefillTimeAt(n, j.PromptTokens, now)
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -15,6 +15,7 @@
 	"sort"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 	"github.com/pistachiovane/pistachiovane/pkg/decayer"
 	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
 )
@@ -81,6 +82,10 @@
 	// expected.
 	Refused    bool
 	RetryAfter time.Duration
+	// Suspended is set if the request is refused because all endpoints are paused or leave. PausedEndpoint is then the ID of
+	// the one whose pause ends first, or empty if all leave.
+	Suspended      bool
+	PausedEndpoint string
 }
 
 // Options configures a planner.
@@ -106,6 +111,8 @@
 	MaxMemoryFraction float64
 	// MaxLoadAge is the age from which a load reported by a peer or an endpoint is ignored.
 	MaxLoadAge time.Duration
+	// Suspensions knows the endpoints that want no requests. Nil means that there are none.
+	Suspensions *suspender.Suspender
 }
 
 // node holds the state of one endpoint.
@@ -223,16 +230,20 @@
 // Submit starts, queues or refuses a request and returns the decisions that follow, which may include decisions for
 // other queued requests. If none of them is for this request, it is queued and a later call returns its decision. A
 // request is refused if others are queued and its expected wait exceeds MaxQueueWait or reaches beyond its caller
-// deadline.
+// deadline, and if all endpoints are paused for longer than its caller waits.
 func (p *Planner) Submit(r Request, now time.Duration) []Decision {
 	j := &job{Request: r, submittedAt: now, class: scheduler.Interactive}
 	if p.missesDeadline(j, now) {
 		j.class = scheduler.Draft
 	}
+	if d, refused := p.refusePaused(j, now); refused {
+		return []Decision{d}
+	}
 	q := p.queue(r.Service)
 	if wait := p.expectedWait(q, now); q.Len(scheduler.Interactive)+q.Len(scheduler.Draft) > 0 &&
 		now+wait > min(r.CallerDeadline, now+p.options.MaxQueueWait) {
-		return []Decision{{RequestID: r.ID, Refused: true, RetryAfter: p.retryAfter(wait)}}
+		_, resumesAt := p.resumesAt(r.Service, now)
+		return []Decision{{RequestID: r.ID, Refused: true, RetryAfter: max(p.retryAfter(wait), resumesAt-now)}}
 	}
 	p.jobs[r.ID] = j
 	q.Push(j.class, r.Account, r.ID, float64(r.PromptTokens+r.ExpectedOutputTokens), j)
@@ -241,13 +252,16 @@
 
 // Tick starts the queued requests that have room now, lowers the priority of those that will miss their first event
 // deadline, and refuses those that have waited for MaxQueueWait or cannot get a first event before their caller
-// deadline.
+// deadline. The time during which all endpoints are paused does not count.
 func (p *Planner) Tick(now time.Duration) []Decision {
 	var decisions []Decision
 	for service, q := range p.queues {
 		var demoted, expired []*job
+		_, resumesAt := p.resumesAt(service, now)
 		q.Each(func(j *job) {
-			if now > j.CallerDeadline-p.options.FirstEventOverhead || now > j.submittedAt+p.options.MaxQueueWait {
+			latestStart := min(
+				j.CallerDeadline-p.options.FirstEventOverhead, max(j.submittedAt, resumesAt)+p.options.MaxQueueWait)
+			if now > latestStart || resumesAt > j.CallerDeadline-p.options.FirstEventOverhead {
 				expired = append(expired, j)
 			} else if j.class == scheduler.Interactive && p.missesDeadline(j, now) {
 				demoted = append(demoted, j)
@@ -262,9 +276,11 @@
 		for _, j := range expired {
 			q.Remove(j.class, j.Account, j.ID)
 			delete(p.jobs, j.ID)
-			decisions = append(decisions, Decision{
-				RequestID: j.ID, Refused: true, RetryAfter: p.retryAfter(p.expectedWait(q, now)),
-			})
+			d, refused := p.refusePaused(j, now)
+			if !refused {
+				d = Decision{RequestID: j.ID, Refused: true, RetryAfter: p.retryAfter(p.expectedWait(q, now))}
+			}
+			decisions = append(decisions, d)
 		}
 		decisions = append(decisions, p.startQueued(service, now)...)
 	}
@@ -308,7 +324,7 @@
 	old := j.plan
 	p.unassign(j)
 	decode := old.Decode
-	if decode.ID == excludedID || p.nodes[decode.ID] == nil || p.nodes[decode.ID].removed {
+	if decode.ID == excludedID || p.nodes[decode.ID] == nil || !p.isUsable(p.nodes[decode.ID], now) {
 		n, _ := p.pickDecode(j, excludedID, now)
 		if n == nil {
 			j.plan = &Plan{Prefill: old.Prefill, Decode: old.Decode}
