--- a/cmd/soak/endpoints.go
+++ b/cmd/soak/endpoints.go
@@ -17,6 +17,8 @@
 	proxy *proxier.Proxier
 	// leaving is set before the endpoint is announced to leave.
 	leaving bool
+	// quiet is set before the endpoint says in its answers that it leaves.
+	quiet bool
 	// replaced and expired are set when another endpoint has started after a crash, and when the entry has been removed.
 	replaced bool
 	expired  bool
@@ -72,7 +74,7 @@
 func (b *testbed) replaceEndpoint(i int) error {
 	b.mu.Lock()
 	replaced := b.endpoints[i%len(b.endpoints)]
-	gone := replaced.leaving || !replaced.CrashedAt().IsZero()
+	gone := replaced.leaving || replaced.quiet || !replaced.CrashedAt().IsZero()
 	if !gone {
 		replaced.leaving = true
 	}
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -19,6 +19,8 @@
 	minHangUpUptime = time.Second
 	// seriesInterval is the pause between two injections of the same fault in a series.
 	seriesInterval = 500 * time.Millisecond
+	// maxAskedPause is the upper bound of the random part of a pause that an endpoint asks for; a second is added to it.
+	maxAskedPause = 3 * time.Second
 	// maxRandomFaultDuration is the upper bound of the random part of a fault's duration; 200 ms are added to that part.
 	maxRandomFaultDuration = 5 * time.Second
 )
@@ -93,7 +95,8 @@
 	networkFault := proxier.Fault(1 + i.rng.IntN(4))
 	responseFault := standin.Fault(1 + i.rng.IntN(int(standin.NoResponse)))
 	randomNumber := i.rng.IntN(1000)
-	switch i.rng.IntN(18) {
+	askedPause := time.Second + time.Duration(i.rng.Int64N(int64(maxAskedPause)))
+	switch i.rng.IntN(22) {
 	case 0:
 		return func() error { return b.kill(g) }
 	case 1:
@@ -118,6 +121,10 @@
 		return func() error { return b.injectKeyWithdrawal([]string{bigAccount, smallAccount}[randomNumber%2]) }
 	case 15, 16:
 		return b.injectConfigChange
+	case 17, 18:
+		return func() error { return b.injectPause(randomNumber, askedPause) }
+	case 19, 20:
+		return func() error { return b.injectQuietLeaving(randomNumber) }
 	default:
 		return func() error { return b.injectReplacement(randomNumber) }
 	}
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -282,6 +282,7 @@
 		Limits: map[string]verifier.AccountLimit{
 			smallAccount: {TokensPerSecond: smallTokensPerSecond, BurstTokens: smallBurstTokens},
 		},
+		Undisturbed: b.undisturbed,
 		FaultFree: func(from, to time.Time) bool {
 			return b.faultFree(from.Add(-reconnectTime), to, func(string) bool { return true })
 		},
@@ -294,6 +295,7 @@
 		}
 	}
 	for _, e := range b.endpoints {
+		addSignals(&h, e)
 		crashedAt := e.CrashedAt()
 		for _, r := range e.Runs() {
 			endedAt := r.EndedAt
@@ -306,6 +308,7 @@
 				Crashed: crashed && isCrashing(r),
 				Disrupted: crashed || (!r.Complete && !r.CallerDisconnected) ||
 					!b.faultFree(r.StartedAt, endedAt, func(fault string) bool { return fault == "path "+e.ID }),
+				Unmarked:      r.Answer.Unframed,
 				EndedUnmarked: endedUnmarked(r),
 				ReceivedKey:   r.Header.Get(credentialHeader) != "",
 			}
--- a/internal/soak/verifier/verifier_test.go
+++ b/internal/soak/verifier/verifier_test.go
@@ -42,7 +42,8 @@
 		},
 		Limits:      map[string]verifier.AccountLimit{"acc": {TokensPerSecond: 10, BurstTokens: 10}},
 		WithdrawnAt: map[string]time.Time{}, LeavingSince: map[string]time.Time{},
-		FaultFree: func(time.Time, time.Time) bool { return true },
+		FaultFree:   func(time.Time, time.Time) bool { return true },
+		Undisturbed: func(string, string, time.Time, time.Time) bool { return true },
 	}
 }
 
@@ -96,6 +97,19 @@
 		"true refusals": func(h *verifier.History) {
 			h.Runs = append(h.Runs, verifier.Run{ID: "c", Account: "acc", Endpoint: "e2", StartedAt: at(200), EndedAt: at(300)})
 		},
+		"pauses": func(h *verifier.History) {
+			h.Contacts = []verifier.Contact{
+				{ID: "a", Endpoint: "e1", At: at(0), AskedPause: time.Second},
+				{ID: "a", Endpoint: "e1", At: at(600)},
+				{ID: "b", Endpoint: "e1", At: at(700)},
+				{ID: "c", Endpoint: "e1", At: at(800)},
+			}
+		},
+		"word of leaving endpoints": func(h *verifier.History) {
+			h.Requests[1].SentAt = at(2101)
+			h.LeavingAnswers = []verifier.LeavingAnswer{{ID: "a", Endpoint: "e1", At: at(100)}}
+			h.Contacts = []verifier.Contact{{ID: "b", Endpoint: "e1", At: at(2110)}}
+		},
 		"ends not marked":   func(h *verifier.History) { h.Requests[0].IsPart = true },
 		"own whole answer":  func(h *verifier.History) { h.Requests[0].Defect = "another request's answer" },
 		"own account":       func(h *verifier.History) { h.Runs[0].Account = "other" },
@@ -134,3 +148,25 @@
 		}
 	}
 }
+
+// A gateway that began an answer in chunks must break it off if nobody marks the end of the rest, also during a shutdown.
+func TestUnknownEndDuringShutdownGivesNoFinding(t *testing.T) {
+	for _, marked := range []bool{false, true} {
+		h := history()
+		h.Shutdowns = []verifier.Shutdown{{StartedAt: at(-10), EndedAt: at(1000)}}
+		h.Requests[1].Status = 0
+		h.Runs = append(h.Runs, verifier.Run{
+			ID: "b", Account: "acc", Endpoint: "e3", StartedAt: at(55), EndedAt: at(58), Disrupted: true,
+		})
+		for i := range h.Runs {
+			h.Runs[i].Unmarked = !marked && h.Runs[i].ID == "b" && !h.Runs[i].Disrupted
+		}
+		found := false
+		for _, f := range verifier.New(h).Check() {
+			found = found || f.Promise == "orderly ends"
+		}
+		if found != marked {
+			t.Errorf("end marked %t: got a finding %t", marked, found)
+		}
+	}
+}
