--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -43,6 +44,8 @@
 	connect func(address string) error
 	// observe receives what endpoints say about themselves.
 	observe func(suspender.Signal)
+	// freed counts the released reservations and KV caches.
+	freed atomic.Int64
 
 	mu       sync.Mutex
 	runs     []string
@@ -77,7 +80,7 @@
 	return s.reserve(address)
 }
 
-func (s *scriptedEndpoints) Release(context.Context, string, string, string) {}
+func (s *scriptedEndpoints) Release(context.Context, string, string, string) { s.freed.Add(1) }
 
 func (s *scriptedEndpoints) Observe(observe func(suspender.Signal)) { s.observe = observe }
 
@@ -91,7 +94,7 @@
 	return s.prefill(address)
 }
 
-func (s *scriptedEndpoints) FreeKVCache(context.Context, string, string, string) {}
+func (s *scriptedEndpoints) FreeKVCache(context.Context, string, string, string) { s.freed.Add(1) }
 
 // sent returns how many runs and prefills were sent.
 func (s *scriptedEndpoints) sent() int {
