--- a/cmd/pistachiovane/cmds/edge_test.go
+++ b/cmd/pistachiovane/cmds/edge_test.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// sendWithoutBody sends a request and reads the body of the response without keeping it.
+func (env *testEnv) sendWithoutBody(r *http.Request) response {
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return response{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return response{
+		status: resp.StatusCode, header: resp.Header, err: err,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}
+}
+
 // call sends a request with a short body and the given header fields.
 func (env *testEnv) call(method, path string, header ...string) response {
 	env.t.Helper()
