--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -258,11 +258,11 @@
 }
 
 // handleDecodeRefusal reports why a decode endpoint did not run the request: another endpoint has the address, it was
-// full, or it could not take the KV cache. Without a KV cache the endpoint counts as full. With one it counts as full
-// only if there was no reservation and it reported that all its slots are in use.
+// full or wants a pause, or it could not take the KV cache. Without a KV cache the endpoint counts as full. With one it
+// counts as full only if it wants a pause, or if there was no reservation and it reported that all its slots are in use.
 func (f *Forwarder) handleDecodeRefusal(g *generation, r *Response, reserved bool) {
 	e := g.plan.Decode
-	full := g.kvSource == "" || (!reserved && r.Slots > 0 && r.InFlight >= r.Slots)
+	full := g.kvSource == "" || (!reserved && r.Slots > 0 && r.InFlight >= r.Slots) || f.controller.IsPaused(e.ID)
 	g.record.refusedBy = e.ID
 	f.log.Info().Str("id", g.ID).Str("endpoint", e.ID).Int("status", r.Status).Int("held", r.InFlight).
 		Int("slots", r.Slots).Bool("full", full).Msg("forward: not run")
--- a/internal/proxy/forwarder/suspended_test.go
+++ b/internal/proxy/forwarder/suspended_test.go
@@ -165,3 +165,26 @@
 		t.Errorf("got %d calls that free something, want none; log:\n%s", n, f.log)
 	}
 }
+
+// Guards against blaming the prefill endpoint, and prefilling again, when a decode endpoint refuses because it wants a
+// pause.
+func TestKVCacheIsKeptWhenDecodeEndpointWantsPause(t *testing.T) {
+	f := newTestForwarder(t)
+	refused := false
+	f.endpoints.run = func(address string) (*Response, error) {
+		if refused {
+			return answer("id: 1\ndata: a\n\n", 200), nil
+		}
+		refused = true
+		f.pauseFor(address)
+		r := answer("", http.StatusServiceUnavailable)
+		r.NotExecuted = true
+		return r, nil
+	}
+	if w := f.send("/draft/x"); w.Code != http.StatusOK {
+		t.Errorf("got status %d, want 200; log:\n%s", w.Code, f.log)
+	}
+	if n := len(f.endpoints.prefills); n != 1 || strings.Contains(f.log.String(), "ejected") || f.Stats.WastedPrefills.Load() > 0 {
+		t.Errorf("got %d prefills, want one whose KV cache is used; log:\n%s", n, f.log)
+	}
+}
