--- a/cmd/pistachiovane/cmds/edge_broken_test.go
+++ b/cmd/pistachiovane/cmds/edge_broken_test.go
@@ -47,7 +47,7 @@
 			t.Run(fmt.Sprint(path, " after ", n), func(t *testing.T) {
 				t.Parallel()
 				env := newTestEnv(t)
-				env.setAnswerOnce(standin.Answer{Unframed: true, Cut: standin.CutCrash, CutAfter: n}, standin.Answer{})
+				env.useAnswers(standin.Answer{Unframed: true, Cut: standin.CutCrash, CutAfter: n}, standin.Answer{})
 				resp := env.generate(path)
 				if resumed := resp.err == nil && resp.body == completeStream; path == "/draft/1" && !resumed {
 					t.Errorf("got error %v and body %q, want the complete stream; log:\n%s", resp.err, resp.body, env.log.String())
@@ -216,7 +216,7 @@
 			for _, id := range []string{"d1", "d2"} {
 				env.modelEndpoints[id].Event = c.event
 			}
-			env.setAnswerOnce(standin.Answer{Cut: standin.CutClose, CutAfter: c.cutAfter}, standin.Answer{})
+			env.useAnswers(standin.Answer{Cut: standin.CutClose, CutAfter: c.cutAfter}, standin.Answer{})
 			resp := env.generate("/draft/1")
 			if resp.claimsComplete() != c.complete || !strings.HasPrefix(whole, resp.body) {
 				t.Errorf("got error %v and %d bytes, want complete %t and no event lost or doubled", resp.err, len(resp.body), c.complete)
--- a/cmd/pistachiovane/cmds/edge_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_env_test.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -169,3 +170,65 @@
 	}
 	env.t.Fatalf("not reached after 5 s: %s; log:\n%s", expectation, env.log.String())
 }
+
+// configTemplate is the operator's configuration. Its arguments are the version and the API keys of the account.
+const configTemplate = `{"version":%d,"routes":[
+ {"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":12000,"target_latency_ms":900,"service":"llm","max_attempts":3,"allow_resume":true},
+ {"name":"note","host":"h","prefix":"/note/","kind":"streaming","timeout_ms":4000,"target_latency_ms":900,"service":"llm","max_attempts":1},
+ {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":1},
+ {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":2},
+ {"name":"open","host":"h","prefix":"/open/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":2,"skip_auth":true}],
+ "services":[{"name":"llm","engine_kind":{"slot_count":4,"kv_capacity":100000,"kv_hold_s":0.5}},{"name":"desk"}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"acc","api_keys":[%s],"plain_tokens":200,"rate_per_s":10000000,"burst":10000000}]}`
+
+// close stops the gateways and the store.
+func (env *testEnv) close() {
+	for _, g := range env.gateways {
+		g.cancel()
+		<-g.stopped
+		g.server.CloseClientConnections()
+		g.server.Close()
+	}
+	env.store.Close()
+}
+
+// serviceRuns returns the number of requests that the two endpoints of the plain service have run.
+func (env *testEnv) serviceRuns() int {
+	return len(env.serviceEndpoints[0].Runs()) + len(env.serviceEndpoints[1].Runs())
+}
+
+// injectFaults makes each endpoint of the plain service handle its next requests with the given faults, one fault for
+// each request.
+func (env *testEnv) injectFaults(f ...standin.Fault) {
+	for _, e := range env.serviceEndpoints {
+		e.InjectFaults(f...)
+	}
+}
+
+// lockedBuffer is a log that a test may read while the gateway writes it.
+type lockedBuffer struct {
+	buffer bytes.Buffer
+}
+
+// with runs do while it holds the lock.
+func (b *lockedBuffer) with(do func()) {
+	bufferLock <- struct{}{}
+	do()
+	<-bufferLock
+}
+
+// bufferLock is the lock of all buffers. The channel is full while the lock is held.
+var bufferLock = make(chan struct{}, 1)
+
+// Write appends a log line.
+func (b *lockedBuffer) Write(p []byte) (n int, err error) {
+	b.with(func() { n, err = b.buffer.Write(p) })
+	return n, err
+}
+
+// String returns all log lines.
+func (b *lockedBuffer) String() (s string) {
+	b.with(func() { s = b.buffer.String() })
+	return s
+}
--- a/cmd/pistachiovane/cmds/edge_framing_test.go
+++ b/cmd/pistachiovane/cmds/edge_framing_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/pistachiovane/pistachiovane/platform/standin"
@@ -25,20 +24,6 @@
 	}
 }
 
-// setAnswerOnce makes the decode endpoints deliver their next answer, whichever of them it is, in the first way and all
-// others in the second.
-func (env *testEnv) setAnswerOnce(first, others standin.Answer) {
-	var used atomic.Bool
-	for _, id := range []string{"d1", "d2"} {
-		env.modelEndpoints[id].AnswerOf = func(standin.Run) standin.Answer {
-			if used.CompareAndSwap(false, true) {
-				return first
-			}
-			return others
-		}
-	}
-}
-
 // endsInsideEvent reports whether the first n bytes of completeStream end inside an event.
 func endsInsideEvent(n int) bool {
 	return n > 0 && !strings.HasSuffix(completeStream[:n], "\n\n")
@@ -93,7 +78,7 @@
 				if !endsInsideEvent(n) {
 					continue
 				}
-				env.setAnswerOnce(standin.Answer{Unframed: true, Cut: standin.CutClose, CutAfter: n},
+				env.useAnswers(standin.Answer{Unframed: true, Cut: standin.CutClose, CutAfter: n},
 					standin.Answer{Unframed: unframedRest})
 				if resp := env.generate("/draft/1"); resp.err != nil || resp.body != completeStream {
 					t.Fatalf("cut after %d bytes: got error %v and body %q, want the complete stream; log:\n%s",
