--- a/internal/proxy/responder/responder_test.go
+++ b/internal/proxy/responder/responder_test.go
@@ -77,6 +77,9 @@
 			if marked := strings.Contains(head, "chunked") || strings.Contains(head, "Content-Length"); marked != c.marked {
 				t.Errorf("got head %q, want a marked end %t", head, c.marked)
 			}
+			if strings.Contains(head, "identity") {
+				t.Errorf("got head %q, want no transfer encoding of our own", head)
+			}
 			if complete(got, err) != c.complete {
 				t.Errorf("got %q and error %v, want complete %t", got, err, c.complete)
 			}
