--- a/cmd/pistachiovane/cmds/edge_broken_test.go
+++ b/cmd/pistachiovane/cmds/edge_broken_test.go
@@ -33,10 +33,10 @@
 func (env *testEnv) useAnswers(answers ...standin.Answer) {
 	var used atomic.Int64
 	for _, id := range []string{"d1", "d2"} {
-		env.modelEndpoints[id].AnswerOf = func(standin.Run) standin.Answer {
+		env.modelEndpoints[id].SetAnswers(func(standin.Run) standin.Answer {
 			n := int(used.Add(1)) - 1
 			return answers[min(n, len(answers)-1)]
-		}
+		})
 	}
 }
 
@@ -107,12 +107,12 @@
 			env := newTestEnv(t)
 			var used atomic.Bool
 			for _, e := range env.serviceEndpoints {
-				e.AnswerOf = func(standin.Run) standin.Answer {
+				e.SetAnswers(func(standin.Run) standin.Answer {
 					if used.CompareAndSwap(false, true) {
 						return standin.Answer{Unframed: true, Cut: standin.CutCrash, CutAfter: 5}
 					}
 					return standin.Answer{}
-				}
+				})
 			}
 			resp := env.call(http.MethodPost, path)
 			if resp.err != nil || resp.status != want || strings.HasPrefix(resp.body, "answ") != (want == http.StatusOK) {
@@ -238,7 +238,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			env := newTestEnv(t)
-			env.modelEndpoints["p1"].AnswerOf = func(standin.Run) standin.Answer { return c.prefill }
+			env.modelEndpoints["p1"].SetAnswers(func(standin.Run) standin.Answer { return c.prefill })
 			for _, id := range []string{"d1", "d2"} {
 				env.modelEndpoints[id].ReservationAnswer = c.reservation
 			}
--- a/cmd/pistachiovane/cmds/edge_framing_test.go
+++ b/cmd/pistachiovane/cmds/edge_framing_test.go
@@ -17,10 +17,10 @@
 		return a
 	}
 	for _, e := range env.modelEndpoints {
-		e.AnswerOf = answerOf
+		e.SetAnswers(answerOf)
 	}
 	for _, e := range env.serviceEndpoints {
-		e.AnswerOf = answerOf
+		e.SetAnswers(answerOf)
 	}
 }
 
--- a/cmd/soak/endpoints.go
+++ b/cmd/soak/endpoints.go
@@ -58,7 +58,7 @@
 		return err
 	}
 	added := &endpoint{Endpoint: e, proxy: proxy}
-	e.AnswerOf = func(r standin.Run) standin.Answer { return b.answerOf(id, r) }
+	e.SetAnswers(func(r standin.Run) standin.Answer { return b.answerOf(id, r) })
 	e.Crashes, e.OnCrash = isCrashing, func() { b.handleCrash(added) }
 	e.EchoRequestID, e.AdvertisedAddress, e.EventsPerStream, e.EventInterval, e.ServiceTime = true, proxy.Address(),
 		eventsPerStream, 20*time.Millisecond, 20*time.Millisecond
