--- a/internal/routing/suspender/suspender.go
+++ b/internal/routing/suspender/suspender.go
@@ -72,7 +72,9 @@
 
 // request is what an endpoint has asked for.
 type request struct {
-	leaving bool
+	// startedAtMs is the start of the incarnation that asked, or zero if it is not known.
+	startedAtMs int64
+	leaving     bool
 	// leavingSince is when the endpoint first said that it leaves. It is valid if leaving is set.
 	leavingSince time.Duration
 	// pausedUntil is the end of the latest pause, or zero.
@@ -103,16 +105,14 @@
 func (s *Suspender) SetEndpoints(endpoints []Endpoint, now time.Duration) {
 	listed := make(map[string]incarnation, len(endpoints))
 	for _, e := range endpoints {
-		before, known := s.listed[e.ID]
 		next := incarnation{startedAtMs: e.StartedAtMs, since: now}
-		if known {
-			next.since = before.since
+		if before, known := s.listed[e.ID]; known && !startedAfter(e.StartedAtMs, before.startedAtMs) {
+			next = incarnation{startedAtMs: max(e.StartedAtMs, before.startedAtMs), since: before.since}
 		}
-		if known && before.startedAtMs != 0 && e.StartedAtMs > before.startedAtMs {
-			next.since = now
+		listed[e.ID] = next
+		if r, ok := s.requests[e.ID]; ok && startedAfter(e.StartedAtMs, r.startedAtMs) {
 			delete(s.requests, e.ID)
 		}
-		listed[e.ID] = next
 	}
 	s.listed = listed
 	for id, r := range s.requests {
@@ -125,6 +125,12 @@
 	}
 }
 
+// startedAfter reports whether an incarnation has started after an earlier one. It is false if the start of the earlier one
+// is not known.
+func startedAfter(startedAtMs, earlierMs int64) bool {
+	return earlierMs != 0 && startedAtMs > earlierMs
+}
+
 // Record records what an endpoint said. It returns true if the endpoint began to leave. The answer of an incarnation that
 // has been replaced since the request was sent is ignored, as is that of an endpoint that was never listed.
 func (s *Suspender) Record(signal Signal, now time.Duration) (beganToLeave bool) {
@@ -133,7 +139,7 @@
 	}
 	r, ok := s.requests[signal.EndpointID]
 	if !ok {
-		r = &request{}
+		r = &request{startedAtMs: s.listed[signal.EndpointID].startedAtMs}
 		s.requests[signal.EndpointID] = r
 	}
 	if ignored := signal.ignored(); ignored != "" && (r.ignoredAt == 0 || now-r.ignoredAt >= ignoredInterval) {
--- a/internal/routing/suspender/suspender_test.go
+++ b/internal/routing/suspender/suspender_test.go
@@ -202,3 +202,24 @@
 		})
 	}
 }
+
+// Guards against losing an endpoint for good that leaves, is taken off the list and starts again under its ID, also if
+// an entry without a start time comes in between.
+func TestRestartUnderSameIDStartsClean(t *testing.T) {
+	for name, between := range map[string][]suspender.Endpoint{"gone": nil, "no start time": {{ID: "e"}}} {
+		s := newSuspender()
+		leaves := signal(2 * time.Second)
+		leaves.Leaving = true
+		s.Record(leaves, 2*time.Second)
+		s.SetEndpoints(between, 3*time.Second)
+		s.SetEndpoints([]suspender.Endpoint{{ID: "e", StartedAtMs: 1000}}, 4*time.Second)
+		if !s.IsLeaving("e") {
+			t.Errorf("%s: the same incarnation is used again", name)
+		}
+		s.SetEndpoints(between, 5*time.Second)
+		s.SetEndpoints([]suspender.Endpoint{{ID: "e", StartedAtMs: 9000}}, 10*time.Second)
+		if s.IsLeaving("e") {
+			t.Errorf("%s: the new incarnation is leaving because the earlier one said so", name)
+		}
+	}
+}
