--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -42,11 +42,34 @@
 	TooManySuspects Decision = "too many suspects"
 )
 
+// Evidence is what a decision on a suspect is based on.
+type Evidence string
+
+// The evidence for decisions. It appears in the logs.
+const (
+	// ConnectionRefused means that nothing accepts connections at the address of the endpoint, or that another endpoint
+	// answered there.
+	ConnectionRefused Evidence = "connection refused"
+	// AnswerReceived means that the endpoint answered an attempt.
+	AnswerReceived Evidence = "answer"
+	// EntryGone means that the endpoint's entry is no longer listed.
+	EntryGone Evidence = "entry gone"
+	// NewStart means that the list shows a later start of the endpoint.
+	NewStart Evidence = "new start"
+	// EntryLeaving means that the endpoint is listed as leaving, or has left the list before.
+	EntryLeaving Evidence = "entry leaving"
+	// RequestCompleted means that a run of the request completed.
+	RequestCompleted Evidence = "request completed"
+	// NoEvidence means that the suspect was dropped without any.
+	NoEvidence Evidence = "none"
+)
+
 // Outcome says whether a crash of an endpoint counts against a request, and why not.
 type Outcome struct {
 	Endpoint    string
 	Fingerprint quarantiner.Fingerprint
 	Decision    Decision
+	Evidence    Evidence
 	// Age is the time since the connection broke.
 	Age time.Duration
 	// Refused is set if the request is refused from now on.
@@ -106,11 +129,11 @@
 		e, ok := listed[id]
 		switch {
 		case before.Leaving:
-			t.decideAll(id, EndpointLeaving, now)
+			t.decideAll(id, EndpointLeaving, EntryLeaving, now)
 		case !ok:
 			t.countUnreachable(id, now)
 		case e.startedAfter(before):
-			t.countAll(id, now)
+			t.countAll(id, NewStart, now)
 		}
 		if !ok {
 			t.departed[id] = now
@@ -137,13 +160,13 @@
 	suspects := t.suspects[endpoint]
 	switch {
 	case t.IsLeaving(endpoint):
-		t.decide(endpoint, s, EndpointLeaving, now)
+		t.decide(endpoint, s, EndpointLeaving, EntryLeaving, now)
 		return false
 	case t.served.contains(f, now):
-		t.decide(endpoint, s, RecentlyServed, now)
+		t.decide(endpoint, s, RecentlyServed, RequestCompleted, now)
 		return false
 	case len(suspects) >= maxSuspectsPerEndpoint:
-		t.decide(endpoint, s, TooManySuspects, now)
+		t.decide(endpoint, s, TooManySuspects, NoEvidence, now)
 		return false
 	}
 	t.suspects[endpoint] = append(suspects, s)
@@ -154,10 +177,10 @@
 // counts against its suspects.
 func (t *CrashTracker) RecordEndpointDown(endpoint string, now time.Duration) {
 	if t.IsLeaving(endpoint) {
-		t.decideAll(endpoint, EndpointLeaving, now)
+		t.decideAll(endpoint, EndpointLeaving, EntryLeaving, now)
 		return
 	}
-	t.countAll(endpoint, now)
+	t.countAll(endpoint, ConnectionRefused, now)
 }
 
 // RecordEndpointReachable records that an endpoint accepted a connection, without an answer to a request yet.
@@ -175,7 +198,7 @@
 	}
 	t.keepSuspects(endpoint, func(s suspect) bool {
 		if s.disconnectedAt <= attemptedAt {
-			t.decide(endpoint, s, EndpointAnswered, now)
+			t.decide(endpoint, s, EndpointAnswered, AnswerReceived, now)
 			return false
 		}
 		return true
@@ -191,7 +214,7 @@
 			if s.fingerprint != f {
 				return true
 			}
-			t.decide(endpoint, s, RecentlyServed, now)
+			t.decide(endpoint, s, RecentlyServed, RequestCompleted, now)
 			return false
 		})
 	}
@@ -235,7 +258,7 @@
 			if now-s.disconnectedAt <= suspectTimeout {
 				return true
 			}
-			t.decide(endpoint, s, NothingFound, now)
+			t.decide(endpoint, s, NothingFound, NoEvidence, now)
 			return false
 		})
 	}
@@ -249,7 +272,7 @@
 }
 
 // countAll counts a crash against all suspects of an endpoint.
-func (t *CrashTracker) countAll(endpoint string, now time.Duration) {
+func (t *CrashTracker) countAll(endpoint string, e Evidence, now time.Duration) {
 	suspects := t.suspects[endpoint]
 	delete(t.suspects, endpoint)
 	for _, s := range suspects {
@@ -257,7 +280,7 @@
 	}
 	// All suspects count before any of them is judged.
 	for _, s := range suspects {
-		t.decide(endpoint, s, Counted, now)
+		t.decide(endpoint, s, Counted, e, now)
 	}
 }
 
@@ -266,17 +289,17 @@
 func (t *CrashTracker) countUnreachable(endpoint string, now time.Duration) {
 	t.keepSuspects(endpoint, func(s suspect) bool {
 		if s.reachable {
-			t.decide(endpoint, s, EndpointLeaving, now)
+			t.decide(endpoint, s, EndpointLeaving, EntryGone, now)
 		}
 		return !s.reachable
 	})
-	t.countAll(endpoint, now)
+	t.countAll(endpoint, EntryGone, now)
 }
 
 // decideAll records the same decision on all suspects of an endpoint and removes them.
-func (t *CrashTracker) decideAll(endpoint string, d Decision, now time.Duration) {
+func (t *CrashTracker) decideAll(endpoint string, d Decision, e Evidence, now time.Duration) {
 	for _, s := range t.suspects[endpoint] {
-		t.decide(endpoint, s, d, now)
+		t.decide(endpoint, s, d, e, now)
 	}
 	delete(t.suspects, endpoint)
 }
@@ -291,10 +314,10 @@
 	t.suspects[endpoint] = kept
 }
 
-// decide records the decision on a suspect.
-func (t *CrashTracker) decide(endpoint string, s suspect, d Decision, now time.Duration) {
+// decide records the decision on a suspect and its evidence.
+func (t *CrashTracker) decide(endpoint string, s suspect, d Decision, e Evidence, now time.Duration) {
 	t.outcomes = append(t.outcomes, Outcome{
-		Endpoint: endpoint, Fingerprint: s.fingerprint, Decision: d, Age: now - s.disconnectedAt,
+		Endpoint: endpoint, Fingerprint: s.fingerprint, Decision: d, Evidence: e, Age: now - s.disconnectedAt,
 		Refused: d == Counted && t.MustRefuse(s.fingerprint, now),
 	})
 }
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -182,9 +182,18 @@
 	tracker.ExpireSuspects(2 * time.Minute)
 	got := tracker.TakeOutcomes()
 	want := []crashtracker.Outcome{
-		{Endpoint: "a", Fingerprint: poison, Decision: crashtracker.Counted, Age: time.Second},
-		{Endpoint: "b", Fingerprint: poison, Decision: crashtracker.EndpointAnswered, Age: 2 * time.Second},
-		{Endpoint: "c", Fingerprint: poison, Decision: crashtracker.NothingFound, Age: 115 * time.Second},
+		{
+			Endpoint: "a", Fingerprint: poison, Decision: crashtracker.Counted, Evidence: crashtracker.ConnectionRefused,
+			Age: time.Second,
+		},
+		{
+			Endpoint: "b", Fingerprint: poison, Decision: crashtracker.EndpointAnswered, Evidence: crashtracker.AnswerReceived,
+			Age: 2 * time.Second,
+		},
+		{
+			Endpoint: "c", Fingerprint: poison, Decision: crashtracker.NothingFound, Evidence: crashtracker.NoEvidence,
+			Age: 115 * time.Second,
+		},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("wrong outcomes (-want +got):\n%s", diff)
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -76,6 +76,7 @@
 	}
 	err := f.prober.Probe(address)
 	down = isRefusedConnection(err)
+	f.log.Info().Str("endpoint", endpointID).Str("address", address).Bool("down", down).Err(err).Msg("crash: probed")
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 		switch {
 		case err == nil:
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -52,8 +52,8 @@
 func (c *Controller) logCrashOutcomes() {
 	for _, o := range c.crashTracker.TakeOutcomes() {
 		c.log.Info().Str("endpoint", o.Endpoint).Str("fingerprint", o.Fingerprint.String()).
-			Str("outcome", string(o.Decision)).Int64("age_ms", o.Age.Milliseconds()).Bool("refused", o.Refused).
-			Msg("crash: decided")
+			Str("outcome", string(o.Decision)).Str("evidence", string(o.Evidence)).Int64("age_ms", o.Age.Milliseconds()).
+			Bool("refused", o.Refused).Msg("crash: decided")
 	}
 }
 
