--- a/cmd/pistachiovane/cmds/edge_crash_test.go
+++ b/cmd/pistachiovane/cmds/edge_crash_test.go
@@ -70,21 +70,29 @@
 // startCrashing starts an endpoint with the given address and ID that requests with crashingBody crash.
 func (env *crashEnv) startCrashing(address, id, stage string) {
 	env.t.Helper()
-	service := "llm"
-	if stage == "" {
-		service = "desk"
-	}
-	e, err := standin.NewEndpointAt(address, id, service, "a", stage)
+	e, err := standin.NewEndpointAt(address, id, serviceOf(stage), "a", stage, env.makeCrashing)
 	if err != nil {
 		env.t.Fatal(err)
 	}
-	e.EventsPerStream, e.EventInterval = env.endpoints[0].EventsPerStream, env.endpoints[0].EventInterval
-	e.Crashes = isCrashing
 	env.t.Cleanup(e.Close)
 	env.store.Put(e.StoreEntry("ready"))
 	env.endpoints = append(env.endpoints, e)
 }
 
+// makeCrashing makes requests with crashingBody crash an endpoint. Its streams are like those of the first endpoint.
+func (env *crashEnv) makeCrashing(e *standin.Endpoint) {
+	e.EventsPerStream, e.EventInterval = env.endpoints[0].EventsPerStream, env.endpoints[0].EventInterval
+	e.Crashes = isCrashing
+}
+
+// serviceOf returns the service of the endpoints of a stage. An empty stage means the plain service.
+func serviceOf(stage string) string {
+	if stage == "" {
+		return "desk"
+	}
+	return "llm"
+}
+
 // crashed returns how many endpoints have crashed.
 func (env *crashEnv) crashed() int {
 	n := 0
--- a/cmd/pistachiovane/cmds/edge_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_env_test.go
@@ -178,7 +178,7 @@
  {"name":"book","host":"h","prefix":"/book/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":1},
  {"name":"read","host":"h","prefix":"/read/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":2},
  {"name":"open","host":"h","prefix":"/open/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":300,"service":"desk","max_attempts":2,"skip_auth":true}],
- "services":[{"name":"llm","engine_kind":{"slot_count":4,"kv_capacity":100000,"kv_hold_s":0.5}},{"name":"desk"}],
+ "services":[{"name":"llm","health_path":"/healthz","engine_kind":{"slot_count":4,"kv_capacity":100000,"kv_hold_s":0.5}},{"name":"desk","health_path":"/healthz"}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"acc","api_keys":[%s],"plain_tokens":200,"rate_per_s":10000000,"burst":10000000}]}`
 
