--- a/agent/invoker/invoker.go
+++ b/agent/invoker/invoker.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -79,14 +78,15 @@
 	}
 }
 
-// connect opens a connection to an address and closes it again.
-func connect(ctx context.Context, address string) error {
+// connect opens a connection to the service and closes it again. A service does not say who it is: if a connection is
+// accepted, it may have started again, so callers are told that nobody marked the end of its answer.
+func connect(ctx context.Context, p prober.Process) (prober.Identity, error) {
 	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := d.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
-		return err
+		return prober.Identity{}, err
 	}
-	return c.Close()
+	return prober.Identity{EndpointID: p.EndpointID}, c.Close()
 }
 
 // Drain makes the invoker refuse new calls. Calls in progress continue.
@@ -314,13 +314,19 @@
 	switch {
 	case err != nil, resp.StatusCode/100 != 2, len(body) > maxAnswerBytes:
 		return i.newResponse(fleet.CallUnknown, deduplicator.Result{})
-	case unmarked && errors.Is(i.prober.Probe(req.URL.Host), syscall.ECONNREFUSED):
+	case unmarked && i.isDown(req.URL.Host):
 		// The service has crashed, so its connections ended in the middle of what it sent.
 		return i.newResponse(fleet.CallUnknown, deduplicator.Result{})
 	}
 	return i.newResponse(fleet.CallDone, deduplicator.Result{Text: string(body), EndUnmarked: unmarked})
 }
 
+// isDown reports whether nothing accepts connections at the address of the service.
+func (i *Invoker) isDown(address string) bool {
+	v, _ := i.prober.Probe(prober.Process{Address: address, EndpointID: i.serviceURL})
+	return v == prober.Refused
+}
+
 // newResponse returns a response with the outcome and the result. Its load is the present number of calls.
 func (i *Invoker) newResponse(o fleet.CallOutcome, result deduplicator.Result) fleet.CallResponse {
 	return fleet.CallResponse{
--- a/cmd/pistachiovane/cmds/edge_crash_test.go
+++ b/cmd/pistachiovane/cmds/edge_crash_test.go
@@ -244,6 +244,36 @@
 	}
 }
 
+// Endpoints may lose a connection and be taken away soon afterwards, without an entry that says so before. They have not
+// crashed, so the request must be served by those that stay.
+func TestEdgeRefusesRequestWhoseEndpointsWereTakenAway(t *testing.T) {
+	for name, c := range map[string]struct{ path, stage string }{
+		"stream": {"/note/x", "decode"}, "prefill": {"/note/x", "prefill"}, "call": {"/book/x", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newCrashEnv(t, c.stage, 2)
+			for _, e := range env.endpoints[:5] {
+				e.InjectFaults(standin.ConnectionReset)
+			}
+			for n := range 40 {
+				env.useGateway(n)
+				env.sendBody(c.path, "sound")
+				for _, e := range env.endpoints[:5] {
+					if len(e.Runs()) > 0 {
+						env.store.Remove("servers/" + e.ID)
+					}
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			if resp := env.sendBody(c.path, "sound"); resp.status != http.StatusOK || resp.err != nil {
+				t.Errorf("got status %d and error %v, want the answer of an endpoint that stays; log:\n%s",
+					resp.status, resp.err, env.log.String())
+			}
+		})
+	}
+}
+
 // A gateway that starts after the crashes must not send the request to further endpoints.
 func TestEdgeSendsCrashingRequestAfterStart(t *testing.T) {
 	t.Parallel()
--- a/cmd/pistachiovane/cmds/edge_reused_address_test.go
+++ b/cmd/pistachiovane/cmds/edge_reused_address_test.go
@@ -25,7 +25,7 @@
 	contactTime    = 3 * time.Second
 	maxLateCrashes = 3
 	// crashTestTime is how long the crashing request is repeated, once each repeatInterval.
-	crashTestTime  = 9 * time.Second
+	crashTestTime  = 7 * time.Second
 	repeatInterval = 250 * time.Millisecond
 	// bindTimeout limits the attempts to listen on an address that is just being closed.
 	bindTimeout = time.Second
@@ -132,7 +132,6 @@
 func (env *reuseEnv) start(address, id, stage string) *standin.Endpoint {
 	for startedAt := time.Now(); ; time.Sleep(time.Millisecond) {
 		e, err := standin.NewEndpointAt(address, id, serviceOf(stage), "a", stage, env.makeCrashing, func(e *standin.Endpoint) {
-			e.StartedAtMs = time.Now().UnixMilli()
 			e.SetOnCrash(env.onCrash(e.Address(), id))
 		})
 		if err == nil {
--- a/cmd/pistachiovane/cmds/edge_signals_test.go
+++ b/cmd/pistachiovane/cmds/edge_signals_test.go
@@ -270,16 +270,6 @@
 func TestEdgeForgetsSignalsOfEarlierIncarnation(t *testing.T) {
 	env := newTestEnv(t)
 	e := env.endpoint("s1")
-	e.StartedAtMs = 1000
-	env.store.Put(e.StoreEntry("ready"))
-	env.waitFor(func() bool {
-		for _, listed := range env.state().Endpoints {
-			if listed.ID == "s1" && listed.StartedAtMs == 1000 {
-				return true
-			}
-		}
-		return false
-	}, "the start of the endpoint should be known")
 	e.SetHeader(leavingLine)
 	env.sendAll("/read/1", 12)
 	e.SetHeader("")
@@ -289,7 +279,7 @@
 	if n := contactsAfter(e, from, time.Minute); n > 0 {
 		t.Errorf("%d requests reached the endpoint after its entry was written again, want none", n)
 	}
-	e.StartedAtMs = 2000
+	e.StartedAtMs += 1000
 	env.store.Put(e.StoreEntry("ready"))
 	env.waitFor(func() bool {
 		env.sendAll("/read/1", 4)
--- a/internal/config/matcher/matcher.go
+++ b/internal/config/matcher/matcher.go
@@ -93,6 +93,8 @@
 // Service is a group of endpoints that can serve the same requests.
 type Service struct {
 	Name string
+	// HealthPath is the path of the health check of its endpoints. It is empty if there is none.
+	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -1,8 +1,10 @@
 // Package crashtracker attributes crashes of endpoints to the requests that were running there. A request becomes a
 // suspect when its connection to an endpoint breaks. Endpoints also lose connections without crashing, so the crash
-// counts against the request only once something shows that the endpoint is down: it refuses a connection, its entry is
-// gone although it was not leaving, or it has started again. An answer of the endpoint shows that it has not crashed.
-// Which request is the cause of the crashes that count is decided by package quarantiner.
+// counts against the request only once something shows that the process is gone: its address refuses connections or
+// another process answers there, its entry is gone although it was not leaving, or it has started again. Only an answer
+// of the process itself shows that it has not crashed; its address may be in use again by another process, and an
+// endpoint may start again under its ID. Which request is the cause of the crashes that count is decided by package
+// quarantiner.
 package crashtracker
 
 import (
@@ -16,6 +18,14 @@
 	// suspectTimeout is how long a suspect waits for what shows whether the endpoint crashed. The entry of an endpoint
 	// that crashed is gone within three heartbeats, or once the store is back.
 	suspectTimeout = time.Minute
+	// restartListTimeout is how long the list may take to show that an endpoint has started again under its ID.
+	restartListTimeout = 10 * time.Second
+	// maxClockDifference is the largest difference between the clocks of a gateway and an endpoint.
+	maxClockDifference = 2500 * time.Millisecond
+	// A request that is suspected at maxOpenSuspicions endpoints waits until it is decided whether they crashed, but not
+	// longer than openSuspicionTime.
+	maxOpenSuspicions = 3
+	openSuspicionTime = 5 * time.Second
 	// maxSuspectsPerEndpoint bounds the memory; further suspects are dropped.
 	maxSuspectsPerEndpoint = 64
 	// departedTimeout is how long an endpoint that is no longer listed is remembered. It may serve what it has for a while
@@ -47,10 +57,13 @@
 
 // The evidence for decisions. It appears in the logs.
 const (
-	// ConnectionRefused means that nothing accepts connections at the address of the endpoint, or that another endpoint
-	// answered there.
+	// ConnectionRefused means that nothing accepts connections at the address of the endpoint.
 	ConnectionRefused Evidence = "connection refused"
-	// AnswerReceived means that the endpoint answered an attempt.
+	// ProcessReplaced means that another process answered at the address of the endpoint.
+	ProcessReplaced Evidence = "process replaced"
+	// ProcessRunning means that the process answered when it was asked who it is.
+	ProcessRunning Evidence = "process running"
+	// AnswerReceived means that an endpoint with the ID ran a request that was sent afterwards, or gave its ID.
 	AnswerReceived Evidence = "answer"
 	// EntryGone means that the endpoint's entry is no longer listed.
 	EntryGone Evidence = "entry gone"
@@ -90,12 +103,18 @@
 	return before.StartedAtMs != 0 && e.StartedAtMs > before.StartedAtMs
 }
 
+// Work identifies what endpoints do for one request. A crash counts against the work during which it happened.
+type Work struct {
+	// Run is the fingerprint of the request.
+	Run quarantiner.Fingerprint
+}
+
 // suspect is a request whose connection to an endpoint broke while it was running.
 type suspect struct {
 	fingerprint    quarantiner.Fingerprint
 	disconnectedAt time.Duration
-	// reachable is set if the endpoint accepted a connection afterwards. The end of its entry then shows nothing.
-	reachable bool
+	// answeredAt is when an endpoint with the ID answered, if the suspect was cleared by that.
+	answeredAt time.Duration
 }
 
 // CrashTracker holds the suspects of each endpoint and the attributed crashes. It is not safe for concurrent use.
@@ -103,6 +122,9 @@
 	quarantine *quarantiner.Quarantiner
 	served     *recentSet
 	suspects   map[string][]suspect
+	// cleared holds the suspects that an answer has cleared, by endpoint, until it is known that this was not the answer of
+	// an endpoint that had started again under the ID.
+	cleared map[string][]suspect
 	// listed holds the listed endpoints by ID. departed holds when endpoints were listed for the last time.
 	listed   map[string]Endpoint
 	departed map[string]time.Duration
@@ -114,13 +136,13 @@
 func New(window time.Duration, limit int) *CrashTracker {
 	return &CrashTracker{
 		quarantine: quarantiner.New(window, limit), served: newRecentSet(), suspects: map[string][]suspect{},
-		listed: map[string]Endpoint{}, departed: map[string]time.Duration{},
+		cleared: map[string][]suspect{}, listed: map[string]Endpoint{}, departed: map[string]time.Duration{},
 	}
 }
 
 // SetEndpoints replaces the endpoint list. Endpoints that are no longer listed, although they were not leaving, or that
-// have started again have crashed, unless they accepted a connection after that of their suspects broke.
-func (t *CrashTracker) SetEndpoints(endpoints []Endpoint, now time.Duration) {
+// have started again have crashed. wall is the time of day at now.
+func (t *CrashTracker) SetEndpoints(endpoints []Endpoint, now time.Duration, wall time.Time) {
 	listed := make(map[string]Endpoint, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.ID] = e
@@ -131,8 +153,10 @@
 		case before.Leaving:
 			t.decideAll(id, EndpointLeaving, EntryLeaving, now)
 		case !ok:
-			t.countUnreachable(id, now)
+			t.countAll(id, EntryGone, now)
 		case e.startedAfter(before):
+			startedAt := now - wall.Sub(time.UnixMilli(e.StartedAtMs))
+			t.restoreAnsweredAfter(id, startedAt-maxClockDifference)
 			t.countAll(id, NewStart, now)
 		}
 		if !ok {
@@ -173,42 +197,67 @@
 	return true
 }
 
-// RecordEndpointDown records that an endpoint refused a connection, or that another one has its address. The crash
-// counts against its suspects.
-func (t *CrashTracker) RecordEndpointDown(endpoint string, now time.Duration) {
+// RecordEndpointDown records that the process of an endpoint is gone: its address refused a connection, or another process
+// answered there. The crash counts against its suspects.
+func (t *CrashTracker) RecordEndpointDown(endpoint string, e Evidence, now time.Duration) {
 	if t.IsLeaving(endpoint) {
 		t.decideAll(endpoint, EndpointLeaving, EntryLeaving, now)
 		return
 	}
-	t.countAll(endpoint, ConnectionRefused, now)
+	t.countAll(endpoint, e, now)
 }
 
-// RecordEndpointReachable records that an endpoint accepted a connection, without an answer to a request yet.
-func (t *CrashTracker) RecordEndpointReachable(endpoint string) {
-	for i := range t.suspects[endpoint] {
-		t.suspects[endpoint][i].reachable = true
-	}
+// RecordProcessRunning records that the process of an endpoint answered an attempt that began at the given time. It has
+// not crashed, so the suspects whose connections broke until then are cleared.
+func (t *CrashTracker) RecordProcessRunning(endpoint string, attemptedAt, now time.Duration) {
+	t.clear(endpoint, ProcessRunning, attemptedAt, now)
 }
 
-// RecordEndpointUp records that an endpoint answered an attempt that began at the given time. It has not crashed before,
-// so the suspects whose connections broke until then are cleared.
+// RecordEndpointUp records that an endpoint with the ID answered an attempt that began at the given time. The suspects
+// whose connections broke until then are cleared, unless the list shows soon that it has started again before the answer.
 func (t *CrashTracker) RecordEndpointUp(endpoint string, attemptedAt, now time.Duration) {
+	for _, s := range t.clear(endpoint, AnswerReceived, attemptedAt, now) {
+		s.answeredAt = now
+		if len(t.cleared[endpoint]) < maxSuspectsPerEndpoint {
+			t.cleared[endpoint] = append(t.cleared[endpoint], s)
+		}
+	}
+}
+
+// clear removes and returns the suspects of an endpoint whose connections broke before an attempt that was answered.
+func (t *CrashTracker) clear(endpoint string, e Evidence, attemptedAt, now time.Duration) []suspect {
 	if len(t.suspects[endpoint]) == 0 {
-		return
+		return nil
 	}
+	var out []suspect
 	t.keepSuspects(endpoint, func(s suspect) bool {
-		if s.disconnectedAt <= attemptedAt {
-			t.decide(endpoint, s, EndpointAnswered, AnswerReceived, now)
-			return false
+		if s.disconnectedAt > attemptedAt {
+			return true
 		}
-		return true
+		t.decide(endpoint, s, EndpointAnswered, e, now)
+		out = append(out, s)
+		return false
 	})
+	return out
+}
+
+// restoreAnsweredAfter makes suspects again of those that were cleared by an answer after the given time.
+func (t *CrashTracker) restoreAnsweredAfter(endpoint string, at time.Duration) {
+	for _, s := range t.cleared[endpoint] {
+		if s.answeredAt >= at {
+			t.suspects[endpoint] = append(t.suspects[endpoint], s)
+		}
+	}
+	delete(t.cleared, endpoint)
 }
 
 // RecordServed records that a request completed, so that it is not the cause of any crash so far.
 func (t *CrashTracker) RecordServed(f quarantiner.Fingerprint, now time.Duration) {
 	t.served.add(f, now)
 	t.quarantine.Clear(f, now)
+	for endpoint := range t.cleared {
+		keep(t.cleared, endpoint, func(s suspect) bool { return s.fingerprint != f })
+	}
 	for endpoint := range t.suspects {
 		t.keepSuspects(endpoint, func(s suspect) bool {
 			if s.fingerprint != f {
@@ -222,7 +271,44 @@
 
 // Decide returns whether a request may be sent to an endpoint.
 func (t *CrashTracker) Decide(f quarantiner.Fingerprint, now time.Duration) quarantiner.Verdict {
-	return t.quarantine.Decide(f, now)
+	v := t.quarantine.Decide(f, now)
+	if !v.Refused {
+		v.RetryAfter = max(v.RetryAfter, t.openSuspicionRest(f, now))
+	}
+	return v
+}
+
+// openSuspicionRest returns how long a request has to wait because of suspicions that are not decided yet.
+func (t *CrashTracker) openSuspicionRest(f quarantiner.Fingerprint, now time.Duration) time.Duration {
+	var brokenAt []time.Duration
+	for _, suspects := range t.suspects {
+		i := slices.IndexFunc(suspects, func(s suspect) bool {
+			return s.fingerprint == f && now-s.disconnectedAt < openSuspicionTime
+		})
+		if i >= 0 {
+			brokenAt = append(brokenAt, suspects[i].disconnectedAt)
+		}
+	}
+	if len(brokenAt) < maxOpenSuspicions {
+		return 0
+	}
+	slices.Sort(brokenAt)
+	return brokenAt[len(brokenAt)-maxOpenSuspicions] + openSuspicionTime - now
+}
+
+// HasSuspects returns whether requests are suspected of a crash of an endpoint that is not decided yet.
+func (t *CrashTracker) HasSuspects(endpoint string) bool {
+	return len(t.suspects[endpoint]) > 0
+}
+
+// DecideRun returns whether a run of a request may be sent to an endpoint.
+func (t *CrashTracker) DecideRun(w Work, now time.Duration) quarantiner.Verdict {
+	return t.Decide(w.Run, now)
+}
+
+// DecidePrefill returns whether a prefill of a request may be sent to an endpoint.
+func (t *CrashTracker) DecidePrefill(w Work, now time.Duration) quarantiner.Verdict {
+	return t.DecideRun(w, now)
 }
 
 // MustRefuse returns whether a request must not be sent again because it crashes endpoints.
@@ -253,6 +339,9 @@
 
 // ExpireSuspects drops the suspects that have waited for too long. It must be called regularly.
 func (t *CrashTracker) ExpireSuspects(now time.Duration) {
+	for endpoint := range t.cleared {
+		keep(t.cleared, endpoint, func(s suspect) bool { return now-s.answeredAt <= restartListTimeout })
+	}
 	for endpoint := range t.suspects {
 		t.keepSuspects(endpoint, func(s suspect) bool {
 			if now-s.disconnectedAt <= suspectTimeout {
@@ -284,18 +373,6 @@
 	}
 }
 
-// countUnreachable counts a crash against the suspects of an endpoint that is no longer listed. Those after which it
-// accepted a connection are dropped: it may have been taken away.
-func (t *CrashTracker) countUnreachable(endpoint string, now time.Duration) {
-	t.keepSuspects(endpoint, func(s suspect) bool {
-		if s.reachable {
-			t.decide(endpoint, s, EndpointLeaving, EntryGone, now)
-		}
-		return !s.reachable
-	})
-	t.countAll(endpoint, EntryGone, now)
-}
-
 // decideAll records the same decision on all suspects of an endpoint and removes them.
 func (t *CrashTracker) decideAll(endpoint string, d Decision, e Evidence, now time.Duration) {
 	for _, s := range t.suspects[endpoint] {
@@ -304,14 +381,19 @@
 	delete(t.suspects, endpoint)
 }
 
-// keepSuspects removes the suspects of an endpoint for which keep returns false.
-func (t *CrashTracker) keepSuspects(endpoint string, keep func(s suspect) bool) {
-	kept := slices.DeleteFunc(t.suspects[endpoint], func(s suspect) bool { return !keep(s) })
+// keepSuspects removes the suspects of an endpoint for which wanted returns false.
+func (t *CrashTracker) keepSuspects(endpoint string, wanted func(s suspect) bool) {
+	keep(t.suspects, endpoint, wanted)
+}
+
+// keep removes the suspects of an endpoint from a map for which wanted returns false.
+func keep(suspects map[string][]suspect, endpoint string, wanted func(s suspect) bool) {
+	kept := slices.DeleteFunc(suspects[endpoint], func(s suspect) bool { return !wanted(s) })
 	if len(kept) == 0 {
-		delete(t.suspects, endpoint)
+		delete(suspects, endpoint)
 		return
 	}
-	t.suspects[endpoint] = kept
+	suspects[endpoint] = kept
 }
 
 // decide records the decision on a suspect and its evidence.
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -16,12 +16,12 @@
 func TestRequestThatCrashedTwoEndpointsIsSentAgain(t *testing.T) {
 	tracker := crashtracker.New(time.Minute, 100)
 	tracker.RecordBrokenConnection("a", poison, 0)
-	tracker.RecordEndpointDown("a", time.Second)
+	tracker.RecordEndpointDown("a", crashtracker.ConnectionRefused, time.Second)
 	if tracker.MustRefuse(poison, time.Second) {
 		t.Error("got a refusal after one crash, want none")
 	}
 	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
-	tracker.RecordEndpointDown("b", 3*time.Second)
+	tracker.RecordEndpointDown("b", crashtracker.ConnectionRefused, 3*time.Second)
 	if !tracker.MustRefuse(poison, 3*time.Second) {
 		t.Error("got no refusal after two crashes, want one")
 	}
@@ -36,7 +36,7 @@
 	for _, endpoint := range []string{"a", "b", "c"} {
 		tracker.RecordBrokenConnection(endpoint, innocent, 0)
 		tracker.RecordEndpointUp(endpoint, time.Millisecond, time.Second)
-		tracker.RecordEndpointDown(endpoint, time.Second)
+		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, time.Second)
 	}
 	if tracker.MustRefuse(innocent, time.Second) {
 		t.Error("got a refusal for a request whose endpoints did not crash, want none")
@@ -47,19 +47,24 @@
 func TestCrashSeenByPeerIsIgnored(t *testing.T) {
 	a, b := crashtracker.New(time.Minute, 100), crashtracker.New(time.Minute, 100)
 	a.RecordBrokenConnection("x", poison, 0)
-	a.RecordEndpointDown("x", 0)
+	a.RecordEndpointDown("x", crashtracker.ConnectionRefused, 0)
 	b.RecordBrokenConnection("y", poison, 0)
-	b.RecordEndpointDown("y", 0)
+	b.RecordEndpointDown("y", crashtracker.ConnectionRefused, 0)
 	b.Merge(a.CrashRecords(0), 0)
 	if !b.MustRefuse(poison, 0) {
 		t.Error("got no refusal after one own crash and one received from a peer, want one")
 	}
 }
 
+// wall returns the time of day at a time of a test.
+func wall(now time.Duration) time.Time {
+	return time.Unix(1_000_000, 0).Add(now)
+}
+
 // newTracker returns a tracker whose list has the endpoints a, b and c.
 func newTracker() *crashtracker.CrashTracker {
 	tracker := crashtracker.New(time.Hour, 100)
-	tracker.SetEndpoints(list("a", "b", "c"), 0)
+	tracker.SetEndpoints(list("a", "b", "c"), 0, wall(0))
 	return tracker
 }
 
@@ -77,13 +82,13 @@
 	tracker := newTracker()
 	tracker.RecordBrokenConnection("a", poison, 0)
 	tracker.RecordBrokenConnection("b", poison, time.Second)
-	tracker.SetEndpoints(list("b", "c"), 20*time.Second)
+	tracker.SetEndpoints(list("b", "c"), 20*time.Second, wall(20*time.Second))
 	if tracker.MustRefuse(poison, 20*time.Second) {
 		t.Error("got a refusal after one entry was gone, want none")
 	}
 	restarted := list("b", "c")
 	restarted[0].StartedAtMs = 2
-	tracker.SetEndpoints(restarted, 30*time.Second)
+	tracker.SetEndpoints(restarted, 30*time.Second, wall(30*time.Second))
 	if !tracker.MustRefuse(poison, 30*time.Second) {
 		t.Error("got no refusal after one entry was gone and another endpoint had started again, want one")
 	}
@@ -96,7 +101,7 @@
 	for _, startedAt := range []int64{0, 1} {
 		unknown := list("a", "b", "c")
 		unknown[0].StartedAtMs = startedAt
-		tracker.SetEndpoints(unknown, time.Second)
+		tracker.SetEndpoints(unknown, time.Second, wall(time.Second))
 	}
 	if got := tracker.CrashRecords(time.Second); len(got) != 0 {
 		t.Errorf("got crash records %+v, want none", got)
@@ -110,7 +115,7 @@
 		brokenAt := time.Duration(i+1) * 10 * time.Second
 		tracker.RecordBrokenConnection(endpoint, poison, brokenAt)
 		tracker.RecordEndpointUp(endpoint, brokenAt-time.Millisecond, brokenAt+time.Millisecond)
-		tracker.RecordEndpointDown(endpoint, brokenAt+5*time.Millisecond)
+		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, brokenAt+5*time.Millisecond)
 	}
 	if !tracker.MustRefuse(poison, time.Minute) {
 		t.Error("got no refusal after two crashes, want one")
@@ -121,21 +126,27 @@
 func TestEndOfLeavingEndpointIsAttributed(t *testing.T) {
 	for name, leave := range map[string]func(tracker *crashtracker.CrashTracker, id string){
 		"announced": func(tracker *crashtracker.CrashTracker, id string) {
-			tracker.SetEndpoints([]crashtracker.Endpoint{{ID: id, StartedAtMs: 1, Leaving: true}}, time.Second)
+			tracker.SetEndpoints([]crashtracker.Endpoint{{ID: id, StartedAtMs: 1, Leaving: true}}, time.Second, wall(time.Second))
 			tracker.RecordBrokenConnection(id, innocent, 2*time.Second)
-			tracker.SetEndpoints(nil, 3*time.Second)
+			tracker.SetEndpoints(nil, 3*time.Second, wall(3*time.Second))
 		},
 		"entry removed first": func(tracker *crashtracker.CrashTracker, id string) {
-			tracker.SetEndpoints(list(id), 0)
-			tracker.SetEndpoints(nil, time.Second)
+			tracker.SetEndpoints(list(id), 0, wall(0))
+			tracker.SetEndpoints(nil, time.Second, wall(time.Second))
 			tracker.RecordBrokenConnection(id, innocent, 3*time.Second)
-			tracker.RecordEndpointDown(id, 3*time.Second)
+			tracker.RecordEndpointDown(id, crashtracker.ConnectionRefused, 3*time.Second)
 		},
-		"reachable after the connection broke": func(tracker *crashtracker.CrashTracker, id string) {
-			tracker.SetEndpoints(list(id), 0)
+		"running after the connection broke": func(tracker *crashtracker.CrashTracker, id string) {
+			tracker.SetEndpoints(list(id), 0, wall(0))
 			tracker.RecordBrokenConnection(id, innocent, time.Second)
-			tracker.RecordEndpointReachable(id)
-			tracker.SetEndpoints(nil, 3*time.Second)
+			tracker.RecordProcessRunning(id, 1100*time.Millisecond, 1200*time.Millisecond)
+			tracker.SetEndpoints(nil, 3*time.Second, wall(3*time.Second))
+		},
+		"answered after the connection broke": func(tracker *crashtracker.CrashTracker, id string) {
+			tracker.SetEndpoints(list(id), 0, wall(0))
+			tracker.RecordBrokenConnection(id, innocent, time.Second)
+			tracker.RecordEndpointUp(id, 1100*time.Millisecond, 1200*time.Millisecond)
+			tracker.SetEndpoints(nil, 3*time.Second, wall(3*time.Second))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -157,7 +168,7 @@
 	for _, endpoint := range []string{"a", "b", "c"} {
 		tracker.RecordBrokenConnection(endpoint, innocent, time.Second)
 		tracker.RecordBrokenConnection(endpoint, poison, time.Second)
-		tracker.RecordEndpointDown(endpoint, time.Second)
+		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, time.Second)
 	}
 	if tracker.MustRefuse(innocent, time.Second) {
 		t.Error("got a refusal of a request that completed a second ago, want none")
@@ -175,7 +186,7 @@
 func TestDecisionIsNotLogged(t *testing.T) {
 	tracker := newTracker()
 	tracker.RecordBrokenConnection("a", poison, 0)
-	tracker.RecordEndpointDown("a", time.Second)
+	tracker.RecordEndpointDown("a", crashtracker.ConnectionRefused, time.Second)
 	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
 	tracker.RecordEndpointUp("b", 3*time.Second, 4*time.Second)
 	tracker.RecordBrokenConnection("c", poison, 5*time.Second)
@@ -199,3 +210,52 @@
 		t.Errorf("wrong outcomes (-want +got):\n%s", diff)
 	}
 }
+
+// An endpoint that answers under its ID may have started again since the connection broke. The list shows that later.
+func TestAnswerOfRestartedEndpointClearsSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		// restartedAt is the time of the start that the list shows at 4 s.
+		restartedAt time.Duration
+		want        int
+	}{
+		"started before the answer":         {restartedAt: 1500 * time.Millisecond, want: 1},
+		"started long after the answer":     {restartedAt: 30 * time.Second, want: 0},
+		"started again before, clocks vary": {restartedAt: 3 * time.Second, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := crashtracker.New(time.Hour, 100)
+			tracker.SetEndpoints(list("a"), 0, wall(0))
+			tracker.RecordBrokenConnection("a", poison, time.Second)
+			tracker.RecordEndpointUp("a", 1900*time.Millisecond, 2*time.Second)
+			listedAt := c.restartedAt + time.Second
+			restarted := list("a")
+			restarted[0].StartedAtMs = wall(c.restartedAt).UnixMilli()
+			tracker.SetEndpoints(restarted, listedAt, wall(listedAt))
+			if got := tracker.CrashRecords(listedAt); len(got) != c.want {
+				t.Errorf("got crash records %+v, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// What a probe finds may come late or never. Until it is known whether three endpoints crashed, the request must wait.
+func TestRequestIsSentOnWhileCrashesAreUndecided(t *testing.T) {
+	tracker := newTracker()
+	for i, endpoint := range []string{"a", "b", "c"} {
+		now := time.Duration(i) * time.Second
+		if v := tracker.Decide(poison, now); v.RetryAfter != 0 || v.Refused {
+			t.Errorf("got %+v with %d open suspicions, want none", v, i)
+		}
+		tracker.RecordBrokenConnection(endpoint, poison, now)
+	}
+	if v := tracker.Decide(poison, 2*time.Second); v.RetryAfter != 3*time.Second {
+		t.Errorf("got %+v with three open suspicions, want a wait of 3 s", v)
+	}
+	if v := tracker.Decide(innocent, 2*time.Second); v.RetryAfter != 0 {
+		t.Errorf("got %+v for another request, want none", v)
+	}
+	tracker.RecordProcessRunning("b", 2*time.Second, 2*time.Second)
+	if v := tracker.Decide(poison, 2*time.Second); v.RetryAfter != 0 {
+		t.Errorf("got %+v after one endpoint was found running, want none", v)
+	}
+}
--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -271,16 +271,6 @@
 	return delimiter.New(r.Response)
 }
 
-// Connect opens a connection to an address and closes it again. It fails if none can be opened.
-func (e *Exchanger) Connect(ctx context.Context, address string) error {
-	c, err := e.acquire(ctx, address, true)
-	if err != nil {
-		return errors.Wrap(err, "open connection")
-	}
-	c.close()
-	return nil
-}
-
 // acquire returns an idle connection that is still open, or dials a new one. With newConnection set it always dials.
 func (e *Exchanger) acquire(ctx context.Context, address string, newConnection bool) (*conn, error) {
 	for !newConnection {
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -144,12 +144,12 @@
 	defer cancel()
 	remaining := f.timeLeft(j)
 	startedAt := f.clock()
-	j.contact = contact{endpointID: e.ID, address: e.Address, attemptedAt: startedAt}
+	j.contact = contact{endpointID: e.ID, attemptedAt: startedAt}
 	r, err := f.endpointClient.Run(callCtx, e.Address, Attempt{
 		Request: j.Request, EndpointID: e.ID, Account: j.accountName(), TimeBudget: remaining,
 		NewConnection: j.route.Kind == matcher.AtMostOnce,
 	})
-	j.contact.response, j.contact.err = r, err
+	j.contact.response, j.contact.err, j.contact.executed = r, err, r.executed()
 	var result outcome
 	var body []byte
 	if err == nil {
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -10,17 +10,22 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
 // contact is what an attempt has shown about its endpoint.
 type contact struct {
 	endpointID  string
-	address     string
 	attemptedAt time.Duration
+	// isPrefill is set if the attempt was a prefill, not a run.
+	isPrefill bool
 	// err is the error of the exchange or of reading the response.
 	err error
 	// response is nil if there was none.
 	response *Response
+	// executed is set if the response shows that the endpoint ran what it was sent.
+	executed bool
 	// ending is how the body of the response ended.
 	ending ending
 }
@@ -31,72 +36,124 @@
 func (f *Forwarder) reportContact(j *job, c contact) (down bool) {
 	switch {
 	case c.ending == endedByCrash:
-		down = f.suspect(j, c.endpointID)
-		f.recordDown(c.endpointID)
-		return down
+		return f.suspect(j, c)
 	case isConnectionLost(c.err), c.ending == endedInsideEvent, c.ending == endedEmpty:
-		return f.suspect(j, c.endpointID) && f.probe(c.endpointID, c.address)
+		return f.suspect(j, c) && f.probe(c.endpointID).Gone()
 	case c.ending == endedUnconfirmed:
-		// What comes next shows whether the endpoint has crashed.
-		f.suspect(j, c.endpointID)
-	case isRefusedConnection(c.err), c.response != nil && c.response.Misdirected:
-		f.recordDown(c.endpointID)
-	case c.err != nil:
-	default:
-		f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
-			t.RecordEndpointUp(c.endpointID, c.attemptedAt, now)
-		})
+		if f.suspect(j, c) {
+			f.watch(c.endpointID)
+		}
+	case isRefusedConnection(c.err):
+		f.recordVerdict(c.endpointID, prober.Refused, c.attemptedAt)
+	case c.response != nil && c.response.Misdirected:
+		f.reportMisdirected(c)
+	case c.executed:
+		f.recordVerdict(c.endpointID, prober.SameID, c.attemptedAt)
 	}
 	return false
 }
 
-// recordDown tells the crash tracker that an endpoint accepts no connections any more.
-func (f *Forwarder) recordDown(endpointID string) {
-	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
-		t.RecordEndpointDown(endpointID, now)
-	})
+// reportMisdirected tells the crash tracker what a response of status 421 says about an endpoint: that another one has the
+// address, or nothing if the endpoint itself sent it, because it has another stage. Who did is asked if it matters.
+func (f *Forwarder) reportMisdirected(c contact) {
+	switch c.response.AnsweredBy {
+	case c.endpointID:
+	case "":
+		suspected := false
+		f.controller.ReadCrashTracker(func(t *crashtracker.CrashTracker) { suspected = t.HasSuspects(c.endpointID) })
+		if suspected {
+			f.watch(c.endpointID)
+		}
+	default:
+		f.recordVerdict(c.endpointID, prober.Replaced, c.attemptedAt)
+	}
 }
 
 // suspect records that the connection to an endpoint broke while it ran a request. It returns false if that can't count
-// against the request.
-func (f *Forwarder) suspect(j *job, endpointID string) (recorded bool) {
+// against the request. If the endpoint is known to have crashed, the crash counts at once.
+func (f *Forwarder) suspect(j *job, c contact) (recorded bool) {
+	fingerprint := j.fingerprint
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
-		recorded = t.RecordBrokenConnection(endpointID, j.fingerprint, now)
+		recorded = t.RecordBrokenConnection(c.endpointID, fingerprint, now)
 	})
-	f.log.Info().Str("id", j.ID).Str("endpoint", endpointID).Str("fingerprint", j.fingerprint.String()).
-		Msg("crash: suspected")
+	f.log.Info().Str("id", j.ID).Str("endpoint", c.endpointID).Str("fingerprint", fingerprint.String()).
+		Bool("prefill", c.isPrefill).Msg("crash: suspected")
+	if c.ending == endedByCrash {
+		f.recordVerdict(c.endpointID, prober.Refused, c.attemptedAt)
+	}
 	return recorded
 }
 
-// probe tells the crash tracker whether an endpoint refuses or accepts a connection. It returns true if it refuses it. An
-// endpoint that has asked for a pause is not probed.
-func (f *Forwarder) probe(endpointID, address string) (down bool) {
-	if f.controller.IsPaused(endpointID) {
-		return false
+// probe asks whether the process of an endpoint still runs, and tells the crash tracker. If the probe finds nothing, it is
+// repeated in the background.
+func (f *Forwarder) probe(endpointID string) prober.Verdict {
+	p, ok := f.controller.Process(endpointID)
+	if !ok {
+		return prober.Unknown
+	}
+	askedAt := f.clock()
+	v, err := f.prober.Probe(p)
+	f.logVerdict(p, v, err)
+	f.recordVerdict(endpointID, v, askedAt)
+	if v == prober.Unknown {
+		f.watch(endpointID)
 	}
-	err := f.prober.Probe(address)
-	down = isRefusedConnection(err)
-	f.log.Info().Str("endpoint", endpointID).Str("address", address).Bool("down", down).Err(err).Msg("crash: probed")
+	return v
+}
+
+// watch asks for the process of an endpoint in the background until it is known what became of it. It does nothing if the
+// endpoint is not listed, or has asked for a pause.
+func (f *Forwarder) watch(endpointID string) {
+	p, ok := f.controller.Process(endpointID)
+	if !ok {
+		return
+	}
+	askedAt := f.clock()
+	f.prober.Watch(p, func(v prober.Verdict, err error) (done bool) {
+		f.logVerdict(p, v, err)
+		f.recordVerdict(endpointID, v, askedAt)
+		askedAt = f.clock()
+		_, listed := f.controller.Process(endpointID)
+		return v != prober.Unknown || !listed
+	})
+}
+
+// logVerdict logs what a probe has found.
+func (f *Forwarder) logVerdict(p prober.Process, v prober.Verdict, err error) {
+	f.log.Info().Str("endpoint", p.EndpointID).Str("address", p.Address).Str("found", v.String()).Err(err).
+		Msg("crash: probed")
+}
+
+// recordVerdict tells the crash tracker what an attempt or a probe that began at the given time has shown about the
+// process of an endpoint.
+func (f *Forwarder) recordVerdict(endpointID string, v prober.Verdict, askedAt time.Duration) {
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
-		switch {
-		case err == nil:
-			t.RecordEndpointReachable(endpointID)
-		case down:
-			t.RecordEndpointDown(endpointID, now)
+		switch v {
+		case prober.Running:
+			t.RecordProcessRunning(endpointID, askedAt, now)
+		case prober.SameID:
+			t.RecordEndpointUp(endpointID, askedAt, now)
+		case prober.Refused:
+			t.RecordEndpointDown(endpointID, crashtracker.ConnectionRefused, now)
+		case prober.Replaced:
+			t.RecordEndpointDown(endpointID, crashtracker.ProcessReplaced, now)
+		case prober.Unknown:
 		}
 	})
-	return down
 }
 
 // reportServed tells the crash tracker that a request completed, unless the end of the response can't be told from a
-// crash.
+// crash. That says nothing about its prefill at another endpoint.
 func (f *Forwarder) reportServed(j *job, r *Response) {
 	if j.contact.ending > endedUnmarked || r.Status >= http.StatusMultipleChoices {
 		return
 	}
-	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
-		t.RecordServed(j.fingerprint, now)
-	})
+	f.recordServed(j.fingerprint)
+}
+
+// recordServed tells the crash tracker that work with a fingerprint completed.
+func (f *Forwarder) recordServed(fp quarantiner.Fingerprint) {
+	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) { t.RecordServed(fp, now) })
 }
 
 // checkSend must be called right before a request is sent to an endpoint, whose ID is empty if it is not chosen yet. It
@@ -104,8 +161,18 @@
 // outcomeQuarantined if the request crashes endpoints, and outcomeAbandoned if the context has ended. If another request
 // is suspected of the same crashes, it waits until the turn of this one.
 func (f *Forwarder) checkSend(ctx context.Context, j *job, endpointID string) outcome {
+	return f.checkWork(ctx, j, endpointID, false)
+}
+
+// checkPrefill is checkSend for a prefill. A request whose prefill crashes endpoints may still be run without one.
+func (f *Forwarder) checkPrefill(ctx context.Context, j *job, endpointID string) outcome {
+	return f.checkWork(ctx, j, endpointID, true)
+}
+
+// checkWork is checkSend for a run or a prefill.
+func (f *Forwarder) checkWork(ctx context.Context, j *job, endpointID string, prefill bool) outcome {
 	for {
-		v, wanted := f.controller.DecideSend(j.fingerprint, endpointID, j.receivedAt)
+		v, wanted := f.controller.DecideSend(j.work(), prefill, endpointID, j.receivedAt)
 		j.quarantineTime = v.RetryAfter
 		switch {
 		case v.Refused:
--- a/internal/proxy/forwarder/ending.go
+++ b/internal/proxy/forwarder/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 )
 
 // ending is how the body of an endpoint's response ended.
@@ -63,21 +64,24 @@
 	case c.response.Delimiter.MarksEnd():
 		c.ending = endedComplete
 	default:
-		c.ending = f.confirmEnd(c.endpointID, c.address)
+		c.ending = f.confirmEnd(c.endpointID)
 	}
 }
 
 // confirmEnd returns how a body ended whose end is not marked. A process that crashes ends its connections like one that
-// has sent a whole body, but it accepts no further ones. An endpoint that is leaving may exit behind its last response,
+// has sent a whole body, but it answers no probe afterwards. An endpoint that is leaving may exit behind its last response,
 // so its end shows nothing; one that has asked for a pause is not probed.
-func (f *Forwarder) confirmEnd(endpointID, address string) ending {
-	if f.isLeaving(endpointID) || f.controller.IsPaused(endpointID) {
+func (f *Forwarder) confirmEnd(endpointID string) ending {
+	p, ok := f.controller.Process(endpointID)
+	if !ok || f.isLeaving(endpointID) {
 		return endedUnconfirmed
 	}
-	switch err := f.prober.Probe(address); {
-	case err == nil:
+	v, err := f.prober.Probe(p)
+	f.logVerdict(p, v, err)
+	switch v {
+	case prober.Running, prober.SameID:
 		return endedUnmarked
-	case isRefusedConnection(err):
+	case prober.Refused, prober.Replaced:
 		return endedByCrash
 	default:
 		return endedUnconfirmed
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 
 	"github.com/pistachiovane/pistachiovane/internal/config/matcher"
 	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
@@ -100,7 +101,7 @@
 	e.Observe(ctrl.RecordSignal)
 	return &Forwarder{
 		options: o, clock: c, tracker: t, controller: ctrl, endpointClient: e,
-		prober: prober.New(e.Connect), log: l, splitSeed: maphash.MakeSeed(),
+		prober: prober.New(e.Identify), log: l, splitSeed: maphash.MakeSeed(),
 	}
 }
 
@@ -216,7 +217,7 @@
 		return f.refuse(j, http.StatusServiceUnavailable, retryAfterStopping, "process is stopping")
 	}
 	j.fingerprint = fingerprint(j)
-	if v := f.controller.DecideQuarantine(j.fingerprint); v.Refused {
+	if v := f.controller.DecideQuarantine(j.work()); v.Refused {
 		j.quarantineTime = v.RetryAfter
 		return f.refuseQuarantined(j)
 	}
@@ -234,6 +235,11 @@
 	return quarantiner.Fingerprint(d.Sum64())
 }
 
+// work returns what endpoints do for the request.
+func (j *job) work() crashtracker.Work {
+	return crashtracker.Work{Run: j.fingerprint}
+}
+
 // outlivesProcess reports whether the process will probably end before the request does.
 func (f *Forwarder) outlivesProcess(j *job) bool {
 	stopAt := time.Duration(f.stopAtNanos.Load())
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -27,6 +27,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/exchanger"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/internal/routing/balancer"
 	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
 	"github.com/pistachiovane/pistachiovane/internal/routing/fencer"
@@ -41,7 +42,8 @@
 	run     func(address string) (*Response, error)
 	prefill func(address string) (string, *Response, error)
 	reserve func(address string) (string, error)
-	connect func(address string) error
+	// identify answers probes. Nil means that they get no answer.
+	identify func(address string) (prober.Identity, error)
 	// observe receives what endpoints say about themselves.
 	observe func(suspender.Signal)
 	// freed counts the released reservations and KV caches.
@@ -57,11 +59,11 @@
 	errRefused = &exchanger.Failure{SendState: exchanger.NotSent, Cause: syscall.ECONNREFUSED}
 )
 
-func (s *scriptedEndpoints) Connect(_ context.Context, address string) error {
-	if s.connect == nil {
-		return errors.New("i/o timeout")
+func (s *scriptedEndpoints) Identify(_ context.Context, p prober.Process) (prober.Identity, error) {
+	if s.identify == nil {
+		return prober.Identity{}, errors.New("i/o timeout")
 	}
-	return s.connect(address)
+	return s.identify(p.Address)
 }
 
 func (s *scriptedEndpoints) Run(_ context.Context, address string, _ Attempt) (*Response, error) {
@@ -276,7 +278,7 @@
 			crashing = false
 			for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 				f.send("/draft/other")
-				if v := f.controller.DecideQuarantine(fingerprint(&job{Request: f.request("/draft/crash")})); v.Refused {
+				if v := f.controller.DecideQuarantine(crashtracker.Work{Run: fingerprint(&job{Request: f.request("/draft/crash")})}); v.Refused {
 					return
 				}
 			}
@@ -285,6 +287,60 @@
 	}
 }
 
+// A response of status 421 may come from the endpoint itself, because it has another stage now, or from another one at its
+// address. Only the latter shows that the endpoint is gone.
+func TestMisdirectedResponseCountsForWrongEndpoint(t *testing.T) {
+	for name, c := range map[string]struct {
+		answeredBy func(address string) string
+		refused    bool
+	}{
+		"the endpoint itself": {func(address string) string { return address }, false},
+		"another endpoint":    {func(string) string { return "other" }, true},
+		"nobody says who":     {func(string) string { return "" }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			lost := map[string]bool{}
+			f.endpoints.run = func(address string) (*Response, error) {
+				if !lost[address] {
+					lost[address] = true
+					return nil, errLost
+				}
+				r := answer("", http.StatusMisdirectedRequest)
+				r.Misdirected, r.HasServerSeal, r.AnsweredBy = true, false, c.answeredBy(address)
+				return r, nil
+			}
+			for range 12 {
+				f.send("/read/x")
+				f.send("/read/y")
+			}
+			v := f.controller.DecideQuarantine(crashtracker.Work{Run: fingerprint(&job{Request: f.request("/read/x")})})
+			if v.Refused != c.refused {
+				t.Errorf("got refused %t, want %t; log:\n%s", v.Refused, c.refused, f.log)
+			}
+		})
+	}
+}
+
+// A reservation is answered by any process at the address, so it shows nothing about the one that crashed.
+func TestReservationClearsSuspect(t *testing.T) {
+	f := newTestForwarder(t)
+	f.endpoints.run = func(string) (*Response, error) { return nil, errLost }
+	f.send("/draft/crash")
+	f.endpoints.run = func(string) (*Response, error) {
+		r := answer("", http.StatusServiceUnavailable)
+		r.NotExecuted, r.HasServerSeal = true, false
+		return r, nil
+	}
+	for range 6 {
+		f.send("/draft/other")
+	}
+	f.controller.SetEndpoints(nil)
+	if n := strings.Count(f.log.String(), `"counted"`); n < 2 {
+		t.Errorf("got %d crashes counted, want those of all endpoints that are gone; log:\n%s", n, f.log)
+	}
+}
+
 // A failed attempt without a broken connection is no suspicion, and neither is a broken connection to the caller.
 func TestRequestIsSuspectedWithoutBrokenConnection(t *testing.T) {
 	for name, run := range map[string]func() (*Response, error){
@@ -303,7 +359,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newTestForwarder(t)
 			f.endpoints.run = func(string) (*Response, error) { return run() }
-			f.endpoints.connect = func(string) error { return errRefused }
+			f.endpoints.identify = func(string) (prober.Identity, error) { return prober.Identity{}, errRefused }
 			for range 4 {
 				f.send("/read/x")
 			}
@@ -346,11 +402,11 @@
 		}
 		return answer("id: 1\n\n", 200), nil
 	}
-	f.endpoints.connect = func(address string) error {
+	f.endpoints.identify = func(address string) (prober.Identity, error) {
 		if address == down {
-			return errRefused
+			return prober.Identity{}, errRefused
 		}
-		return nil
+		return prober.Identity{EndpointID: address}, nil
 	}
 	f.endpoints.reserve = func(address string) (string, error) {
 		if down != "" {
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -176,7 +176,7 @@
 		return result
 	}
 	e := g.plan.Decode
-	g.contact = contact{endpointID: e.ID, address: e.Address, attemptedAt: f.clock()}
+	g.contact = contact{endpointID: e.ID, attemptedAt: f.clock()}
 	result = f.attemptDecode(ctx, g)
 	down := f.reportContact(g.job, g.contact)
 	if down && g.contact.response != nil {
@@ -207,7 +207,7 @@
 		KVSource: kvSource, ReservationID: reservationID, ResumeAfterEventID: g.relay.lastEventID(),
 		NewConnection: g.route.Kind != matcher.Idempotent,
 	})
-	g.contact.response, g.contact.err = r, err
+	g.contact.response, g.contact.err, g.contact.executed = r, err, r.executed()
 	if err != nil {
 		return f.handleDecodeFailure(ctx, g, err)
 	}
--- a/internal/proxy/forwarder/ports.go
+++ b/internal/proxy/forwarder/ports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/proxy/delimiter"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 )
 
@@ -74,8 +75,11 @@
 	// Delimiter is what delimits the body. If it does not mark the end, Body returns io.EOF also if the endpoint crashed in
 	// the middle of the body.
 	Delimiter delimiter.Delimiter
-	// Misdirected is set if the address now belongs to another endpoint, which refused the request without running it.
+	// Misdirected is set if the request was refused without running it because it was for another endpoint, or for another
+	// stage of this one.
 	Misdirected bool
+	// AnsweredBy is the ID that the endpoint gave in the response. It is empty if there was none.
+	AnsweredBy string
 	// InFlight is how many requests the endpoint runs and has queued. It is valid if Slots is not zero.
 	InFlight int
 	// Slots is how many requests the endpoint runs at a time. It is zero if the endpoint did not report its load.
@@ -88,11 +92,16 @@
 	Close func()
 }
 
+// executed reports whether the response shows that the endpoint to which a request was addressed ran it. It may be nil.
+func (r *Response) executed() bool {
+	return r != nil && r.HasServerSeal && !r.NotExecuted && !r.Misdirected
+}
+
 // EndpointClient sends requests to endpoints. An error of type *exchanger.Failure says whether the request may have
 // been sent. After any other error the endpoint may have run the request.
 type EndpointClient interface {
-	// Connect opens a connection to an endpoint and closes it again.
-	Connect(ctx context.Context, address string) error
+	// Identify asks what answers at the address of a process who it is.
+	Identify(ctx context.Context, p prober.Process) (prober.Identity, error)
 	// Run sends a caller's request to an endpoint. It returns the response once its head has arrived.
 	Run(ctx context.Context, address string, a Attempt) (*Response, error)
 	// Reserve reserves a slot and KV memory for the given number of tokens at an endpoint. The reservation expires
--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -31,23 +31,18 @@
 }
 
 // prefill runs the prompt at a prefill endpoint, unless there is a KV cache already or the plan has no prefill
-// endpoint. If no further prefill call may be made, it leaves the prefill to the decode endpoint. It returns
-// outcomeAnswered if the decode can start, outcomeQuarantined if the request crashes endpoints, and outcomeAbandoned if the
-// caller's context has ended.
+// endpoint. If no further prefill call may be made, or if the prefill crashes endpoints, it leaves the prefill to the decode
+// endpoint. It returns outcomeAnswered if the decode can start, and outcomeAbandoned if the caller's context has ended.
 func (f *Forwarder) prefill(ctx context.Context, g *generation) outcome {
 	for g.kvSource == "" && g.plan.Prefill != nil {
-		result := f.checkSend(ctx, g.job, g.plan.Prefill.ID)
+		result := f.checkPrefill(ctx, g.job, g.plan.Prefill.ID)
 		if result == outcomeSuspended && f.findPlan(g, true, g.plan.Prefill.ID) {
 			continue
 		}
-		if result == outcomeSuspended {
-			g.plan.Prefill = nil
-			return outcomeAnswered
-		}
-		if result != outcomeAnswered {
+		if result == outcomeAbandoned {
 			return result
 		}
-		if !f.mayPrefill(g) {
+		if result != outcomeAnswered || !f.mayPrefill(g) {
 			g.plan.Prefill = nil
 			return outcomeAnswered
 		}
@@ -71,7 +66,7 @@
 			return nil
 		})
 		f.reportContact(g.job, contact{
-			endpointID: e.ID, address: e.Address, attemptedAt: startedAt, err: err, response: response,
+			endpointID: e.ID, attemptedAt: startedAt, isPrefill: true, err: err, response: response, executed: kvSource != "",
 		})
 		if kvSource != "" {
 			g.kvSource, g.kvHolder, g.kvExpiresAt = kvSource, e, f.clock()+g.engine.HandleTTL-kvTransferMargin
--- a/internal/proxy/forwarder/reservation.go
+++ b/internal/proxy/forwarder/reservation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
 )
 
@@ -26,9 +27,9 @@
 		reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 		reservationID, err := f.endpointClient.Reserve(reserveCtx, e.Address, e.ID, g.PromptTokens, reservationTTL)
 		cancel()
-		if !isConnectionLost(err) {
-			// A connection that breaks is no suspicion: the request was not running.
-			f.reportContact(g.job, contact{endpointID: e.ID, address: e.Address, attemptedAt: startedAt, err: err})
+		if isRefusedConnection(err) {
+			// A reservation shows nothing else: the request is not running, and any process at the address answers.
+			f.recordVerdict(e.ID, prober.Refused, startedAt)
 		}
 		if reservationID != "" {
 			g.reservationID, g.reservedOn = reservationID, e
--- a/internal/proxy/prober/prober.go
+++ b/internal/proxy/prober/prober.go
@@ -1,61 +1,203 @@
-// Package prober finds out whether an endpoint still accepts connections after one of its connections broke.
+// Package prober asks whether the process that a request was sent to still runs. A connection that opens shows only that
+// something listens at the address, which may be in use again by another process. So the probe asks what answers there who
+// it is, and asks again until it knows.
 package prober
 
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
 	// settleTime is the time from a broken connection to the probe. The connections of a process that crashes do not all
 	// end at the same instant.
 	settleTime = 5 * time.Millisecond
-	// connectTimeout limits a probe. It is longer than the round trip between regions.
-	connectTimeout = 100 * time.Millisecond
+	// answerTimeout limits a probe for which a request waits. It is longer than two round trips between regions.
+	answerTimeout = 200 * time.Millisecond
+	// watchTimeout limits each probe of a watch.
+	watchTimeout = time.Second
+)
+
+// watchDelays returns the pauses before the probes of a watch. Together they last longer than it takes until the entry of
+// an endpoint that crashed is gone.
+func watchDelays() []time.Duration {
+	return []time.Duration{
+		100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond,
+		2 * time.Second, 2 * time.Second,
+	}
+}
+
+// Process is the process at an address that is asked for.
+type Process struct {
+	Address    string
+	EndpointID string
+	// StartedAtMs is the Unix time of its start in ms, or zero if it is not known.
+	StartedAtMs int64
+	// Model is set if the process serves a model, so that it says when it started.
+	Model bool
+	// HealthPath is the path of its health check. It is empty if there is none.
+	HealthPath string
+}
+
+// Identity is what a process says of itself. At least one field is set.
+type Identity struct {
+	EndpointID  string
+	StartedAtMs int64
+}
+
+// Verdict is what a probe has found.
+type Verdict uint8
+
+// The verdicts of a probe.
+const (
+	// Unknown means that the probe has found nothing.
+	Unknown Verdict = iota
+	// Running means that the process answered.
+	Running
+	// SameID means that a process with its ID answered, which may have started since.
+	SameID
+	// Refused means that no process accepts connections at the address.
+	Refused
+	// Replaced means that another process answered.
+	Replaced
 )
 
-// Prober probes endpoints. The connections of many requests break at once when an endpoint crashes, so they share one
+// Gone reports whether the process no longer runs.
+func (v Verdict) Gone() bool {
+	return v == Refused || v == Replaced
+}
+
+// String returns the verdict as it appears in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Running:
+		return "running"
+	case SameID:
+		return "same ID"
+	case Refused:
+		return "refused"
+	case Replaced:
+		return "replaced"
+	default:
+		return "unknown"
+	}
+}
+
+// Prober probes processes. The connections of many requests break at once when an endpoint crashes, so they share one
 // probe. It is safe for concurrent use.
 type Prober struct {
-	connect func(ctx context.Context, address string) error
+	identify func(ctx context.Context, p Process) (Identity, error)
 
-	// mu guards the field below.
+	// mu guards the fields below.
 	mu sync.Mutex
-	// waiting holds the probes that have not begun to connect, by address.
-	waiting map[string]*probe
+	// waiting holds the probes that have not begun to connect.
+	waiting map[Process]*probe
+	// watched holds the processes that are being watched.
+	watched map[Process]bool
 }
 
-// probe is the probe of one address.
+// probe is the probe of one process.
 type probe struct {
-	// done is closed once err is valid.
-	done chan struct{}
-	err  error
+	// done is closed once verdict and err are valid.
+	done    chan struct{}
+	verdict Verdict
+	err     error
 }
 
-// New returns a Prober. connect must open a connection to an address and close it again.
-func New(connect func(ctx context.Context, address string) error) *Prober {
-	return &Prober{connect: connect, waiting: map[string]*probe{}}
+// New returns a Prober. identify must ask what answers at the address of a process, on a new connection, who it is.
+func New(identify func(ctx context.Context, p Process) (Identity, error)) *Prober {
+	return &Prober{identify: identify, waiting: map[Process]*probe{}, watched: map[Process]bool{}}
 }
 
-// Probe connects to an address, not before settleTime has passed, and returns the error of connecting.
-func (p *Prober) Probe(address string) error {
+// Probe asks for a process, not before settleTime has passed. The error says why the verdict is Unknown.
+func (p *Prober) Probe(process Process) (Verdict, error) {
 	p.mu.Lock()
-	if shared, ok := p.waiting[address]; ok {
+	if shared, ok := p.waiting[process]; ok {
 		p.mu.Unlock()
 		<-shared.done
-		return shared.err
+		return shared.verdict, shared.err
 	}
 	own := &probe{done: make(chan struct{})}
-	p.waiting[address] = own
+	p.waiting[process] = own
 	p.mu.Unlock()
 	time.Sleep(settleTime)
 	p.mu.Lock()
-	delete(p.waiting, address)
+	delete(p.waiting, process)
 	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	own.err = p.connect(ctx, address)
+	own.verdict, own.err = p.ask(process, answerTimeout)
 	close(own.done)
-	return own.err
+	return own.verdict, own.err
+}
+
+// Watch asks for a process again and again until report returns true for the verdict, or for as long as its entry may
+// outlive it. It returns at once. A process that is being watched already is not watched twice.
+func (p *Prober) Watch(process Process, report func(v Verdict, err error) (done bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.watched[process] {
+		return
+	}
+	p.watched[process] = true
+	w := &watch{prober: p, process: process, report: report}
+	go w.run()
+}
+
+// ask asks for a process once.
+func (p *Prober) ask(process Process, timeout time.Duration) (Verdict, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	identity, err := p.identify(ctx, process)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused, err
+	case err != nil:
+		return Unknown, err
+	default:
+		return process.compare(identity), nil
+	}
+}
+
+// compare returns what an answer says about the process.
+func (p Process) compare(answered Identity) Verdict {
+	switch {
+	case answered.EndpointID != "" && answered.EndpointID != p.EndpointID:
+		return Replaced
+	case answered.StartedAtMs != 0 && p.StartedAtMs != 0 && answered.StartedAtMs != p.StartedAtMs:
+		return Replaced
+	case answered.StartedAtMs != 0 && p.StartedAtMs != 0:
+		return Running
+	case answered.EndpointID != "":
+		return SameID
+	default:
+		return Unknown
+	}
+}
+
+// watch asks for one process until it is known what became of it.
+type watch struct {
+	prober  *Prober
+	process Process
+	report  func(v Verdict, err error) (done bool)
+}
+
+// run probes after each of watchDelays.
+func (w *watch) run() {
+	defer w.end()
+	for _, delay := range watchDelays() {
+		time.Sleep(delay)
+		if w.report(w.prober.ask(w.process, watchTimeout)) {
+			return
+		}
+	}
+}
+
+// end forgets the watch.
+func (w *watch) end() {
+	w.prober.mu.Lock()
+	defer w.prober.mu.Unlock()
+	delete(w.prober.watched, w.process)
 }
--- a/internal/proxy/prober/prober_test.go
+++ b/internal/proxy/prober/prober_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 )
@@ -13,22 +16,21 @@
 // When an endpoint crashes, all its connections break at once. Each of them must get the result, of few connections.
 func TestEachBrokenConnectionProbes(t *testing.T) {
 	var connections atomic.Int32
-	refused := errors.New("refused")
-	p := prober.New(func(_ context.Context, address string) error {
+	p := prober.New(func(_ context.Context, process prober.Process) (prober.Identity, error) {
 		connections.Add(1)
-		if address == "down" {
-			return refused
+		if process.Address == "down" {
+			return prober.Identity{}, errors.Wrap(syscall.ECONNREFUSED, "connect")
 		}
-		return nil
+		return prober.Identity{EndpointID: process.EndpointID}, nil
 	})
 	var done sync.WaitGroup
 	var wrong atomic.Int32
 	for range 200 {
-		for address, want := range map[string]error{"down": refused, "up": nil} {
+		for address, want := range map[string]prober.Verdict{"down": prober.Refused, "up": prober.SameID} {
 			done.Add(1)
 			go func() {
 				defer done.Done()
-				if err := p.Probe(address); !errors.Is(err, want) {
+				if got, _ := p.Probe(prober.Process{Address: address, EndpointID: "a"}); got != want {
 					wrong.Add(1)
 				}
 			}()
@@ -42,3 +44,69 @@
 		t.Errorf("got %d connections for 400 probes of two addresses, want far fewer", n)
 	}
 }
+
+// What answers at an address need not be the process that was there.
+func TestProbeTakesAnyAnswerForTheProcess(t *testing.T) {
+	known := prober.Process{Address: "x", EndpointID: "a", StartedAtMs: 5}
+	unknownStart := prober.Process{Address: "x", EndpointID: "a"}
+	for name, c := range map[string]struct {
+		process  prober.Process
+		answered prober.Identity
+		err      error
+		want     prober.Verdict
+	}{
+		"its start":               {known, prober.Identity{StartedAtMs: 5}, nil, prober.Running},
+		"its ID and start":        {known, prober.Identity{EndpointID: "a", StartedAtMs: 5}, nil, prober.Running},
+		"its ID":                  {known, prober.Identity{EndpointID: "a"}, nil, prober.SameID},
+		"its ID, another start":   {known, prober.Identity{EndpointID: "a", StartedAtMs: 6}, nil, prober.Replaced},
+		"another start":           {known, prober.Identity{StartedAtMs: 6}, nil, prober.Replaced},
+		"another ID":              {known, prober.Identity{EndpointID: "b"}, nil, prober.Replaced},
+		"another ID, its start":   {known, prober.Identity{EndpointID: "b", StartedAtMs: 5}, nil, prober.Replaced},
+		"a start, none known":     {unknownStart, prober.Identity{StartedAtMs: 6}, nil, prober.Unknown},
+		"its ID, no start known":  {unknownStart, prober.Identity{EndpointID: "a", StartedAtMs: 6}, nil, prober.SameID},
+		"another ID, none known":  {unknownStart, prober.Identity{EndpointID: "b"}, nil, prober.Replaced},
+		"nothing":                 {known, prober.Identity{}, context.DeadlineExceeded, prober.Unknown},
+		"a refused connection":    {known, prober.Identity{}, syscall.ECONNREFUSED, prober.Refused},
+		"a connection that broke": {known, prober.Identity{}, syscall.ECONNRESET, prober.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := prober.New(func(context.Context, prober.Process) (prober.Identity, error) { return c.answered, c.err })
+			if got, _ := p.Probe(c.process); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// A probe that finds nothing, because the network lost it, must be repeated until something is known, once for all that
+// wait.
+func TestLostProbeIsNotRepeated(t *testing.T) {
+	var asked atomic.Int32
+	p := prober.New(func(context.Context, prober.Process) (prober.Identity, error) {
+		if asked.Add(1) < 3 {
+			return prober.Identity{}, context.DeadlineExceeded
+		}
+		return prober.Identity{EndpointID: "b"}, nil
+	})
+	verdicts := make(chan prober.Verdict, 10)
+	for range 3 {
+		p.Watch(prober.Process{Address: "x", EndpointID: "a"}, func(v prober.Verdict, _ error) bool {
+			verdicts <- v
+			return v != prober.Unknown
+		})
+	}
+	for _, want := range []prober.Verdict{prober.Unknown, prober.Unknown, prober.Replaced} {
+		select {
+		case got := <-verdicts:
+			if got != want {
+				t.Errorf("got %v, want %v", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("got no verdict in 5 s, want %v", want)
+		}
+	}
+	time.Sleep(time.Second)
+	if n := asked.Load(); n != 3 {
+		t.Errorf("asked %d times, want 3", n)
+	}
+}
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -1,10 +1,13 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
+	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
@@ -34,11 +37,31 @@
 	read(c.crashTracker)
 }
 
+// Process returns the process of a listed endpoint, to be probed. ok is false if the endpoint is not listed, or has asked
+// for a pause, in which nothing may be sent to it.
+func (c *Controller) Process(endpointID string) (p prober.Process, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.endpoints, func(e lister.Endpoint) bool { return e.ID == endpointID })
+	if i < 0 || c.suspender.IsPaused(endpointID, c.clock()) {
+		return prober.Process{}, false
+	}
+	e := c.endpoints[i]
+	p = prober.Process{Address: e.Address, EndpointID: e.ID, StartedAtMs: e.StartedAtMs, Model: e.Model}
+	if c.config == nil {
+		return p, true
+	}
+	if s, found := c.config.Service(e.Service); found {
+		p.HealthPath = s.HealthPath
+	}
+	return p, true
+}
+
 // DecideQuarantine returns whether a request may be sent to an endpoint, or must not be because it crashes endpoints.
-func (c *Controller) DecideQuarantine(f quarantiner.Fingerprint) quarantiner.Verdict {
+func (c *Controller) DecideQuarantine(w crashtracker.Work) quarantiner.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.crashTracker.Decide(f, c.clock())
+	return c.crashTracker.DecideRun(w, c.clock())
 }
 
 // QuarantinedRequests returns the requests that must not be sent because they crash endpoints.
@@ -63,8 +86,7 @@
 	for _, e := range c.endpoints {
 		listed = append(listed, crashtracker.Endpoint{ID: e.ID, StartedAtMs: e.StartedAtMs, Leaving: c.isLeaving(&e)})
 	}
-	now := c.clock()
-	c.crashTracker.SetEndpoints(listed, now)
+	c.crashTracker.SetEndpoints(listed, c.clock(), time.Now())
 	c.logCrashOutcomes()
 }
 
--- a/internal/routing/controller/crashes_test.go
+++ b/internal/routing/controller/crashes_test.go
@@ -22,7 +22,7 @@
 			for _, endpoint := range []string{"e1", "e2"} {
 				from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) {
 					tracker.RecordBrokenConnection(endpoint, 77, now)
-					tracker.RecordEndpointDown(endpoint, now)
+					tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, now)
 				})
 			}
 			m, _ := from.Compose(false)
@@ -31,7 +31,7 @@
 			}
 			m.From, m.Incarnation = "peer", 1
 			to.Receive(m)
-			if v := to.DecideQuarantine(77); !v.Refused {
+			if v := to.DecideQuarantine(crashtracker.Work{Run: 77}); !v.Refused {
 				t.Errorf("got %+v at the other gateway, want a refusal", v)
 			}
 			from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) { tracker.RecordServed(77, now) })
@@ -40,7 +40,7 @@
 			}
 			m.From, m.Incarnation = "peer", 1
 			to.Receive(m)
-			if v := to.DecideQuarantine(77); v.Refused {
+			if v := to.DecideQuarantine(crashtracker.Work{Run: 77}); v.Refused {
 				t.Error("got a refusal although the request has completed, want none")
 			}
 		})
@@ -66,14 +66,14 @@
 				g.Receive(m)
 				g.now += 250*time.Millisecond + 100*time.Microsecond
 			}
-			if v := g.DecideQuarantine(77); v.Refused {
+			if v := g.DecideQuarantine(crashtracker.Work{Run: 77}); v.Refused {
 				t.Errorf("got %+v after one crash, want no refusal", v)
 			}
 			g.Receive(broadcaster.Message{
 				From: "peer", Incarnation: 1, SentAtMs: sentAtMs, TransitKnown: sentAtMs > 0,
 				CrashRecords: []broadcaster.CrashRecord{{Fingerprint: 77, Endpoints: []string{"e2"}, AgeMs: 10}},
 			})
-			if v := g.DecideQuarantine(77); !v.Refused {
+			if v := g.DecideQuarantine(crashtracker.Work{Run: 77}); !v.Refused {
 				t.Errorf("got %+v after crashes of two endpoints, want a refusal", v)
 			}
 		})
--- a/internal/routing/controller/suspensions.go
+++ b/internal/routing/controller/suspensions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
@@ -45,15 +46,19 @@
 	return c.suspender.IsPaused(endpointID, c.clock())
 }
 
-// DecideSend returns whether a request that was received at the given time may be sent to an endpoint now: whether it
-// crashes endpoints, and whether the endpoint wants it.
+// DecideSend returns whether a request that was received at the given time may be sent to an endpoint now, as a prefill or
+// to be run: whether that crashes endpoints, and whether the endpoint wants it.
 func (c *Controller) DecideSend(
-	f quarantiner.Fingerprint, endpointID string, receivedAt time.Duration,
+	w crashtracker.Work, prefill bool, endpointID string, receivedAt time.Duration,
 ) (v quarantiner.Verdict, wanted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	return c.crashTracker.Decide(f, now), c.suspender.MaySend(endpointID, receivedAt, now)
+	decide := c.crashTracker.DecideRun
+	if prefill {
+		decide = c.crashTracker.DecidePrefill
+	}
+	return decide(w, now), c.suspender.MaySend(endpointID, receivedAt, now)
 }
 
 // Pause is why a service can't be used now: all of its endpoints are paused or leave.
