A completed run no longer clears the crashes that its prefill caused

Cause: run and prefill had one fingerprint. The completed decode cleared the crashes, and marked the request as served, so that no later break made it a suspect.

Change: a prefill has a fingerprint of its own, which only a completed prefill clears. A prefill that crashes endpoints is not sent any more; the decode endpoint reads the prompt itself, unless a run has crashed an endpoint too, so that three endpoints end at most.

--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -107,6 +107,8 @@
 type Work struct {
 	// Run is the fingerprint of the request.
 	Run quarantiner.Fingerprint
+	// Prefill is the fingerprint of its prefill at another endpoint. It is zero if there is never one.
+	Prefill quarantiner.Fingerprint
 }
 
 // suspect is a request whose connection to an endpoint broke while it was running.
@@ -296,19 +298,38 @@
 	return brokenAt[len(brokenAt)-maxOpenSuspicions] + openSuspicionTime - now
 }
 
+// HasCrashed returns whether any crash counts against a request.
+func (t *CrashTracker) HasCrashed(f quarantiner.Fingerprint, now time.Duration) bool {
+	return t.quarantine.IsSuspect(f, now)
+}
+
 // HasSuspects returns whether requests are suspected of a crash of an endpoint that is not decided yet.
 func (t *CrashTracker) HasSuspects(endpoint string) bool {
 	return len(t.suspects[endpoint]) > 0
 }
 
-// DecideRun returns whether a run of a request may be sent to an endpoint.
+// DecideRun returns whether a run of a request may be sent to an endpoint. If its prefill crashes endpoints, it may run
+// without one, unless a run has crashed an endpoint too.
 func (t *CrashTracker) DecideRun(w Work, now time.Duration) quarantiner.Verdict {
-	return t.Decide(w.Run, now)
+	v := t.Decide(w.Run, now)
+	if v.Refused || w.Prefill == 0 || !t.HasCrashed(w.Run, now) {
+		return v
+	}
+	if p := t.Decide(w.Prefill, now); p.Refused {
+		return p
+	}
+	return v
 }
 
 // DecidePrefill returns whether a prefill of a request may be sent to an endpoint.
 func (t *CrashTracker) DecidePrefill(w Work, now time.Duration) quarantiner.Verdict {
-	return t.DecideRun(w, now)
+	v := t.DecideRun(w, now)
+	if v.Refused {
+		return v
+	}
+	p := t.Decide(w.Prefill, now)
+	p.RetryAfter = max(p.RetryAfter, v.RetryAfter)
+	return p
 }
 
 // MustRefuse returns whether a request must not be sent again because it crashes endpoints.
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -259,3 +259,27 @@
 		t.Errorf("got %+v after one endpoint was found running, want none", v)
 	}
 }
+
+// A prefill that crashes endpoints must not be cleared by a run that had none, and a run must not be sent on after both
+// have crashed endpoints.
+func TestRunClearsPrefillThatCrashesEndpoints(t *testing.T) {
+	work := crashtracker.Work{Run: 10, Prefill: 11}
+	tracker := newTracker()
+	for _, endpoint := range []string{"a", "b"} {
+		tracker.RecordBrokenConnection(endpoint, work.Prefill, time.Second)
+		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, time.Second)
+		tracker.RecordServed(work.Run, time.Second)
+	}
+	if v := tracker.DecidePrefill(work, 2*time.Second); !v.Refused {
+		t.Errorf("got %+v for a prefill that crashed two endpoints, want a refusal", v)
+	}
+	if v := tracker.DecideRun(work, 2*time.Second); v.Refused {
+		t.Errorf("got %+v for a run without prefill, want none", v)
+	}
+	const later = time.Minute
+	tracker.RecordBrokenConnection("c", work.Run, later)
+	tracker.RecordEndpointDown("c", crashtracker.ConnectionRefused, later)
+	if v := tracker.DecideRun(work, later); !v.Refused {
+		t.Errorf("got %+v for a run after three crashes, want a refusal", v)
+	}
+}
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -73,6 +73,9 @@
 // against the request. If the endpoint is known to have crashed, the crash counts at once.
 func (f *Forwarder) suspect(j *job, c contact) (recorded bool) {
 	fingerprint := j.fingerprint
+	if c.isPrefill {
+		fingerprint = j.prefillFingerprint
+	}
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 		recorded = t.RecordBrokenConnection(c.endpointID, fingerprint, now)
 	})
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -131,6 +131,8 @@
 	heldFailure *bufferedResponse
 	// fingerprint identifies the request for the crash tracker. It is the same when the caller sends the request again.
 	fingerprint quarantiner.Fingerprint
+	// prefillFingerprint identifies the prefill of a generation for the crash tracker. It is zero for calls.
+	prefillFingerprint quarantiner.Fingerprint
 	// quarantineTime is how long the request must not be sent because of crashes.
 	quarantineTime time.Duration
 	// contact is what the latest attempt has shown about its endpoint.
@@ -217,6 +219,9 @@
 		return f.refuse(j, http.StatusServiceUnavailable, retryAfterStopping, "process is stopping")
 	}
 	j.fingerprint = fingerprint(j)
+	if j.engine != nil {
+		j.prefillFingerprint = fingerprintOfPrefill(j.fingerprint)
+	}
 	if v := f.controller.DecideQuarantine(j.work()); v.Refused {
 		j.quarantineTime = v.RetryAfter
 		return f.refuseQuarantined(j)
@@ -235,9 +240,15 @@
 	return quarantiner.Fingerprint(d.Sum64())
 }
 
+// fingerprintOfPrefill returns the fingerprint of the prefill of a request. A run that completes without a prefill of its
+// own does not clear the prefill, nor the other way round.
+func fingerprintOfPrefill(f quarantiner.Fingerprint) quarantiner.Fingerprint {
+	return quarantiner.Fingerprint(xxhash.Sum64String("prefill " + f.String()))
+}
+
 // work returns what endpoints do for the request.
 func (j *job) work() crashtracker.Work {
-	return crashtracker.Work{Run: j.fingerprint}
+	return crashtracker.Work{Run: j.fingerprint, Prefill: j.prefillFingerprint}
 }
 
 // outlivesProcess reports whether the process will probably end before the request does.
--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -69,6 +69,7 @@
 			endpointID: e.ID, attemptedAt: startedAt, isPrefill: true, err: err, response: response, executed: kvSource != "",
 		})
 		if kvSource != "" {
+			f.recordServed(g.prefillFingerprint)
 			g.kvSource, g.kvHolder, g.kvExpiresAt = kvSource, e, f.clock()+g.engine.HandleTTL-kvTransferMargin
 			g.record.prefillTime = f.clock() - g.receivedAt
 			f.Stats.Prefills.Add(1)
