Entries with impossible ports or numbers name no endpoint

Cause: the decoder checked only that an address and slots were there. Changes that a peer sent were not checked at all.

--- a/cmd/pistachiovane/cmds/edge_list_test.go
+++ b/cmd/pistachiovane/cmds/edge_list_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/platform/standin"
 )
 
@@ -50,3 +55,75 @@
 		t.Errorf("got %d calls to the store in 3 s, want the usual watches of 7 gateways", extra)
 	}
 }
+
+// oddEntries are entries that another writer might leave among those of the endpoints, with verbs for the ID where needed.
+func oddEntries() []string {
+	const entry = `{"service":"desk","zone":"a","state":"ready",%s}`
+	var out []string
+	for _, odd := range []string{
+		`"address":"127.0.0.1:0","slot_count":4`, `"address":"127.0.0.1:-1","slot_count":4`, `"address":"127.0.0.1:65536","slot_count":4`,
+		`"address":"127.0.0.1:70000","slot_count":4`, `"address":"127.0.0.1:100000000000000000000","slot_count":4`,
+		`"address":"127.0.0.1","slot_count":4`, `"address":"127.0.0.1:1","slot_count":9223372036854775807`,
+		`"address":"127.0.0.1:1","slot_count":1e400`, `"address":"127.0.0.1:1","slot_count":4,"born":-5`,
+		`"address":"127.0.0.1:1","slot_count":4,"x":` + strings.Repeat(`[`, 300_000) + strings.Repeat(`]`, 300_000),
+	} {
+		out = append(out, fmt.Sprintf(entry, odd))
+	}
+	return append(out, strings.Repeat("[", 1<<20), strings.Repeat(`{"a":`, 100_000), "\xff\xfe", "null", "7", `""`, "")
+}
+
+// Entries with impossible ports or numbers became endpoints to which requests were sent (issue 36). They must name no
+// endpoint, whether the store or a peer sends them, and later entries must be followed.
+func TestEdgeSendsRequestsToEndpointOfOddEntry(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	for i, entry := range oddEntries() {
+		env.store.Put(fmt.Sprintf("servers/odd%d", i), []byte(entry))
+	}
+	env.sendOddChanges()
+	e, err := standin.NewEndpoint("later", "desk", "a", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	env.store.Put(e.StoreEntry("ready"))
+	env.waitFor(func() bool { return env.lists("later") }, "the later entry should be followed")
+	time.Sleep(300 * time.Millisecond)
+	for _, listed := range env.state().Endpoints {
+		if strings.HasPrefix(listed.ID, "odd") {
+			t.Errorf("got endpoint %+v of an odd entry, want none", listed)
+		}
+	}
+	for range 24 {
+		if resp := env.call(http.MethodGet, "/read/1"); resp.status != http.StatusOK {
+			t.Errorf("got status %d beside odd entries, want 200", resp.status)
+		}
+	}
+}
+
+// lists reports whether the gateway lists an endpoint.
+func (env *testEnv) lists(id string) bool {
+	return slices.ContainsFunc(env.state().Endpoints, func(e lister.Endpoint) bool { return e.ID == id })
+}
+
+// sendOddChanges sends the gateway a message of a peer with odd changes of the endpoint list.
+func (env *testEnv) sendOddChanges() {
+	env.t.Helper()
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		env.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	var changes []string
+	for i, odd := range []string{
+		`"Address":"127.0.0.1:0","Slots":4`, `"Address":"127.0.0.1:70000","Slots":4`, `"Address":"","Slots":4`,
+		`"Address":"127.0.0.1:1","Slots":9223372036854775807`, `"Address":"127.0.0.1:1","Slots":-4`,
+	} {
+		changes = append(changes, fmt.Sprintf(`{"k":"servers/oddpeer%d","r":9,"e":{"ID":"oddpeer%d","Service":"desk",%s}}`, i, i, odd))
+	}
+	message := fmt.Sprintf(`{"jsonrpc":"2.0","method":"state","params":{"from":%q,"inc":7,"seq":1,"list":[%s]}}`,
+		conn.LocalAddr().String(), strings.Join(changes, ","))
+	if _, err := conn.WriteToUDPAddrPort([]byte(message), env.settings.SeedAddrs[0]); err != nil {
+		env.t.Fatal(err)
+	}
+}
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 )
 
 // Endpoint is one incarnation of an endpoint as the platform lists it. It is encoded in messages between gateways and
@@ -34,6 +37,21 @@
 	Prefill bool
 }
 
+// Check fails if requests can't be sent to the endpoint: it has no ID, service or slots, or its address or a number is
+// impossible. Entries may come from any writer to the store.
+func (e Endpoint) Check() error {
+	if e.ID == "" || e.Service == "" || e.Slots == 0 {
+		return errors.New("endpoint has no id, service or slots")
+	}
+	if e.StartedAtMs < 0 {
+		return errors.Errorf("endpoint %q started at %d ms", e.ID, e.StartedAtMs)
+	}
+	if err := endpoint.CheckAddress(e.Address); err != nil {
+		return errors.Wrapf(err, "endpoint %q", e.ID)
+	}
+	return errors.Wrapf(endpoint.CheckSlots(e.Slots), "endpoint %q", e.ID)
+}
+
 // Entry is an endpoint under its key in the store, as of a revision of the store.
 type Entry struct {
 	Key      string
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -89,12 +89,7 @@
 func (d *Daemon) receiveList(m broadcaster.Message, now time.Duration) {
 	var changed []lister.Entry
 	for _, c := range m.EndpointChanges {
-		entry := lister.Entry{Key: c.Key, Revision: c.Revision, Removed: c.Removed}
-		if c.Endpoint != nil {
-			entry.Endpoint = *c.Endpoint
-		} else {
-			entry.Removed = true
-		}
+		entry := d.entryOf(c, m.From)
 		if d.lister.Apply(entry, now) {
 			changed = append(changed, entry)
 		}
@@ -110,6 +105,20 @@
 	}
 }
 
+// entryOf returns the entry of a change that a peer sent. An endpoint to which requests can't be sent counts as removed,
+// as it does when it is read from the store.
+func (d *Daemon) entryOf(c broadcaster.EndpointChange, from string) lister.Entry {
+	removed := lister.Entry{Key: c.Key, Revision: c.Revision, Removed: true}
+	if c.Removed || c.Endpoint == nil {
+		return removed
+	}
+	if err := c.Endpoint.Check(); err != nil {
+		d.log.Warn().Str("key", c.Key).Str("from", from).Err(err).Msg("list: entry not understood")
+		return removed
+	}
+	return lister.Entry{Key: c.Key, Revision: c.Revision, Endpoint: *c.Endpoint}
+}
+
 // Receive applies a message of a peer: its state to the controller and its changes to the endpoint list. It also checks
 // whether the peer has a newer configuration.
 func (d *Daemon) Receive(m broadcaster.Message) {
