One odd entry no longer hides the VM list of the own interface

What operators would have seen: gateways stopped following the VM list, and kept the last one, as long as one entry had a value of another type or a number beyond its type; entries with impossible ports became endpoints.

Cause: the list was decoded as a whole, from the platform and from peers.

Change: entries are decoded one by one and checked; those that are not understood are left out and logged.

--- a/gateway/configurer/configurer.go
+++ b/gateway/configurer/configurer.go
@@ -140,8 +140,7 @@
 	return out
 }
 
-// ReceiveLists applies lists received from a peer. Unknown lists, deltas that do not apply and VM lists that can't be
-// parsed are ignored.
+// ReceiveLists applies lists received from a peer. Unknown lists and deltas that do not apply are ignored.
 func (c *Configurer) ReceiveLists(lists []fleet.List) {
 	for _, l := range lists {
 		l, ok := c.resolveDelta(l)
@@ -152,9 +151,7 @@
 			c.addList(l)
 			continue
 		}
-		if v, err := parseVMs(l); err == nil {
-			c.updateVMs(v, time.Time{}, false)
-		}
+		c.updateVMs(parseVMs(l), time.Time{}, false)
 	}
 }
 
@@ -358,6 +355,7 @@
 	c.mu.Lock()
 	newer := v.Version > c.vms.Version
 	if newer {
+		c.logMalformed(v)
 		c.vms = v
 		c.patchers[VMs].Load(v.Version, formatVMs(v))
 	}
@@ -368,6 +366,13 @@
 	}
 }
 
+// logMalformed logs the entries of a VM list that were left out.
+func (c *Configurer) logMalformed(v platform.VMList) {
+	for _, err := range v.Malformed {
+		c.log.Warn().Uint64("version", v.Version).Err(err).Msg("vms: entry not understood")
+	}
+}
+
 // parserText converts a list to the form that the parser reads.
 func parserText(l fleet.List) parser.ListText {
 	return parser.ListText{Name: l.Name, Body: []byte(l.Text)}
--- a/gateway/configurer/vms.go
+++ b/gateway/configurer/vms.go
@@ -27,16 +27,17 @@
 	return b.String()
 }
 
-// parseVMs parses a VM list that formatVMs wrote, sorted by ID. It fails where a section does not hold a VM as JSON.
-func parseVMs(l fleet.List) (platform.VMList, error) {
+// parseVMs parses a VM list that formatVMs wrote, sorted by ID. It leaves out the sections that are not understood.
+func parseVMs(l fleet.List) platform.VMList {
 	out := platform.VMList{Version: l.Version}
 	for title, section := range patcher.Sections(l.Text) {
-		var vm platform.VM
-		if err := json.Unmarshal([]byte(strings.TrimPrefix(section, title)), &vm); err != nil {
-			return platform.VMList{}, errors.Wrapf(err, "decode VM %s", title)
+		vm, err := platform.DecodeVM([]byte(strings.TrimPrefix(section, title)))
+		if err != nil {
+			out.Malformed = append(out.Malformed, errors.Wrapf(err, "section %s", title))
+			continue
 		}
 		out.VMs = append(out.VMs, vm)
 	}
 	slices.SortFunc(out.VMs, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
-	return out, nil
+	return out
 }
--- a/service/platform/platform.go
+++ b/service/platform/platform.go
@@ -66,10 +66,55 @@
 	}, true
 }
 
+// Check fails if the VM can't be called: it has no ID, or its address or number of slots is impossible.
+func (v VM) Check() error {
+	if v.ID == "" {
+		return errors.New("VM has no id")
+	}
+	if err := endpoint.CheckAddress(v.Address); err != nil {
+		return errors.Wrapf(err, "VM %q", v.ID)
+	}
+	return errors.Wrapf(endpoint.CheckSlots(v.Slots), "VM %q", v.ID)
+}
+
 // VMList is one version of the list of all gateway and endpoint VMs.
 type VMList struct {
-	Version uint64 `json:"version"`
-	VMs     []VM   `json:"vms"`
+	Version uint64
+	VMs     []VM
+	// Malformed holds why entries were left out, one error each.
+	Malformed []error
+}
+
+// wireVMList is a VMList as the platform sends it.
+type wireVMList struct {
+	Version uint64            `json:"version"`
+	VMs     []json.RawMessage `json:"vms"`
+}
+
+// decode leaves out the entries that are not understood. One odd entry must not hide the others.
+func (w wireVMList) decode() VMList {
+	out := VMList{Version: w.Version, VMs: make([]VM, 0, len(w.VMs))}
+	for _, raw := range w.VMs {
+		v, err := DecodeVM(raw)
+		if err != nil {
+			out.Malformed = append(out.Malformed, err)
+			continue
+		}
+		out.VMs = append(out.VMs, v)
+	}
+	return out
+}
+
+// DecodeVM decodes an entry of the VM list. It fails on invalid JSON and on a VM that can't be called.
+func DecodeVM(raw []byte) (VM, error) {
+	var v VM
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return VM{}, errors.Wrap(err, "decode VM")
+	}
+	if err := v.Check(); err != nil {
+		return VM{}, err
+	}
+	return v, nil
 }
 
 // Client reads lists from the platform. It is safe for concurrent use.
@@ -96,11 +141,11 @@
 	return v, err
 }
 
-// ReadVMList reads the current VM list.
+// ReadVMList reads the current VM list, without the entries that are not understood.
 func (c *Client) ReadVMList(ctx context.Context) (VMList, error) {
-	var v VMList
-	err := c.get(ctx, "/v1/vms", requestTimeout, &v)
-	return v, err
+	var w wireVMList
+	err := c.get(ctx, "/v1/vms", requestTimeout, &w)
+	return w.decode(), err
 }
 
 // get sends a GET request and decodes the JSON body of the response into the value into. It fails on a status other
