The rest of a broken stream is passed on only if it goes on behind the last event

What callers saw: an error's text in the middle of their stream. Events without ID, or with one from before, were passed on too.

Cause: only the head of the response that continues a stream was checked.

Change: the scanner knows where the stream stands. In a continued stream an event must have a later ID (a greater number, or another text), or be a comment; what does not go on is not sent, and the stream is continued at another endpoint. Before the first event, data is enough. An event that does not fit into the buffer is passed on in pieces only if its ID goes on.

--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -438,3 +438,70 @@
 		t.Errorf("got a quarantine, want none; log:\n%s", f.log)
 	}
 }
+
+// The rest of a broken stream was passed on unseen: a response of status 200 whose body was the text of an error, or events
+// that did not go on from the last one, came into the middle of the caller's stream (issue 36).
+func TestRestOfStreamThatDoesNotGoOnIsRelayed(t *testing.T) {
+	const first, rest = "id: 4\ndata: a\n\n", "id: 5\ndata: b\n\nid: 6\ndata: c\n\n"
+	for name, odd := range map[string]string{
+		"head":                  "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 3\r\n\r\nbad\r\n\r\n",
+		"text":                  "internal error\n\n",
+		"object":                `{"error":"overloaded"}` + "\n\n",
+		"event without ID":      "data: overloaded\n\n",
+		"named event":           "event: error\ndata: overloaded\n\n",
+		"the last event again":  first,
+		"an earlier event":      "id: 3\ndata: z\n\n",
+		"ID of another kind":    "id: x\ndata: z\n\n",
+		"ID beyond its type":    "id: 99999999999999999999999\ndata: z\n\n",
+		"negative ID":           "id: -5\ndata: z\n\n",
+		"long text":             strings.Repeat("x", 3*relayBufferBytes) + "\n\n",
+		"long event without ID": "data: " + strings.Repeat("x", 3*relayBufferBytes) + "\n\n",
+		"empty":                 "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			bodies := []io.Reader{
+				io.MultiReader(strings.NewReader(first), iotest.ErrReader(io.ErrUnexpectedEOF)),
+				io.MultiReader(strings.NewReader(odd), iotest.ErrReader(io.ErrUnexpectedEOF)), strings.NewReader(rest),
+			}
+			f.endpoints.run = func(string) (*Response, error) {
+				r := answer("", 200)
+				r.ContentLength, r.Body, bodies = -1, bodies[0], bodies[1:]
+				return r, nil
+			}
+			if w := f.send("/draft/x"); w.Code != 200 || w.Body.String() != first+rest {
+				t.Errorf("got status %d and body %.300q, want the events of one stream; log:\n%s", w.Code, w.Body.String(), f.log)
+			}
+		})
+	}
+}
+
+// What may stand in the rest of a sound stream must be passed on.
+func TestRestOfSoundStreamIsCutOff(t *testing.T) {
+	const first = "id: 4\ndata: a\n\n"
+	for name, rest := range map[string]string{
+		"next event":       "id: 5\ndata: b\n\n",
+		"later event":      "id: 9\ndata: b\n\n",
+		"comment":          ": ping\n\nid: 5\ndata: b\n\n",
+		"ID behind data":   "data: b\nid: 5\n\n",
+		"version first":    "x-pistachiovane-weight-versions: 2\nid: 5\ndata: b\n\n",
+		"long event":       "id: 5\ndata: " + strings.Repeat("x", 3*relayBufferBytes) + "\n\nid: 6\ndata: c\n\n",
+		"carriage returns": "id: 5\r\ndata: b\r\n\r\nid: 10\r\ndata: c\r\n\r\n",
+		"nothing more":     "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestForwarder(t)
+			bodies := []io.Reader{
+				io.MultiReader(strings.NewReader(first), iotest.ErrReader(io.ErrUnexpectedEOF)), strings.NewReader(rest),
+			}
+			f.endpoints.run = func(string) (*Response, error) {
+				r := answer("", 200)
+				r.ContentLength, r.Body, bodies = -1, bodies[0], bodies[1:]
+				return r, nil
+			}
+			if w := f.send("/draft/x"); w.Code != 200 || w.Body.String() != first+rest {
+				t.Errorf("got status %d and body %.300q, want all events; log:\n%s", w.Code, w.Body.String(), f.log)
+			}
+		})
+	}
+}
--- a/internal/proxy/forwarder/relay.go
+++ b/internal/proxy/forwarder/relay.go
@@ -74,11 +74,14 @@
 	return r.stream.Events()
 }
 
+// errAstray is the error of a response that does not go on behind the last event of a stream that it was to continue.
+var errAstray = errors.New("response does not go on behind the last event")
+
 // copyEvents sends the events of a body to the caller, until the body ends or fails or a write to the caller fails. Both
-// errors are nil at the end of the body. The caller does not get an incomplete event at the end. Each read that
-// completes an event is progress for the watch.
+// errors are nil at the end of the body. The caller does not get an incomplete event at the end, nor, of a response that
+// continues a stream, an event that does not go on behind the last one. Each read that completes an event is progress for
+// the watch.
 func (r *relay) copyEvents(w *responder.Responder, body io.Reader, watch *stallWatch) (readErr, writeErr error) {
-	r.stream.DropIncomplete()
 	r.buffered, r.splitEvent = 0, false
 	for {
 		n, err := body.Read(r.buffer[r.buffered:])
@@ -89,12 +92,17 @@
 			writeErr = r.send(w, end)
 			r.splitEvent = false
 		} else if r.buffered += n; r.buffered == len(r.buffer) {
+			if !r.stream.MayGoOn() {
+				return errAstray, nil
+			}
 			writeErr = r.send(w, r.buffered)
 			r.splitEvent = true
 		}
 		switch {
 		case writeErr != nil:
 			return nil, writeErr
+		case r.stream.Astray():
+			return errAstray, nil
 		case errors.Is(err, io.EOF):
 			return nil, nil
 		case err != nil:
@@ -135,7 +143,9 @@
 // relayStream sends the events of a response to the caller. It sends the head of the response only if no earlier
 // attempt has done so.
 func (f *Forwarder) relayStream(ctx context.Context, g *generation, r *Response, watch *stallWatch) outcome {
-	if !g.w.HeadSent() {
+	if g.w.HeadSent() {
+		g.relay.stream.Continue(g.LastEventID)
+	} else {
 		copyHeader(g.w.Header(), r.Header)
 		g.w.WriteHead(r.Status, r.Delimiter)
 		g.record.status = r.Status
--- a/internal/proxy/scanner/scanner.go
+++ b/internal/proxy/scanner/scanner.go
@@ -3,7 +3,10 @@
 // CRLF or CR, and a blank line ends an event.
 package scanner
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // maxLineBytes is how much of a line is kept. The ID of an event on a longer line is not known.
 const maxLineBytes = 256
@@ -32,6 +35,12 @@
 	// lastID is the ID of the last complete event with data, and lastUnknown is set if that event has none.
 	lastID      []byte
 	lastUnknown bool
+	// hasOther is set if the current event has a line that is neither a comment nor a field read here.
+	hasOther bool
+	// continued is set while the bytes come from a response that must go on behind lastID, and astray once an event of it
+	// does not.
+	continued bool
+	astray    bool
 }
 
 // Scan reads the next bytes of the stream. It returns the length of the part that ends with the last complete event,
@@ -52,6 +61,9 @@
 			s.endLine()
 		}
 		at++
+		if s.astray {
+			return end
+		}
 		if !s.inside {
 			end = at
 		}
@@ -59,6 +71,27 @@
 	return end
 }
 
+// Continue says that the next bytes come from another response, which must go on behind the last event. after is the ID
+// at which the stream began, if it has had no event yet. What was read of an event that broke off is forgotten.
+func (s *Scanner) Continue(after string) {
+	s.DropIncomplete()
+	s.continued, s.astray = true, false
+	if s.events == 0 {
+		s.lastID = append(s.lastID[:0], after...)
+	}
+}
+
+// Astray reports whether an event does not go on behind the one before it, although it must. It and what follows belong to
+// another stream, or are no events at all.
+func (s *Scanner) Astray() bool {
+	return s.astray
+}
+
+// MayGoOn reports whether what was read of the current event allows that it goes on behind the last one.
+func (s *Scanner) MayGoOn() bool {
+	return !s.continued || (s.hasID && s.followsLast())
+}
+
 // indexLineEnd returns the index of the first CR or LF, or the length of p if there is none.
 func indexLineEnd(p []byte) int {
 	if n := bytes.IndexByte(p, '\n'); n >= 0 {
@@ -97,7 +130,13 @@
 
 // DropIncomplete forgets the event inside which the stream broke off. The next bytes begin an event.
 func (s *Scanner) DropIncomplete() {
-	s.lineBytes, s.afterCR, s.inside, s.hasID, s.hasData = 0, false, false, false, false
+	s.lineBytes, s.afterCR = 0, false
+	s.beginEvent()
+}
+
+// beginEvent forgets the current event.
+func (s *Scanner) beginEvent() {
+	s.inside, s.hasID, s.hasData, s.hasOther = false, false, false, false
 }
 
 // endLine handles the end of a line. A blank line ends the event.
@@ -115,6 +154,8 @@
 	case bytes.Equal(name, idField):
 		s.id = append(s.id[:0], bytes.TrimPrefix(value, []byte(" "))...)
 		s.hasID = length <= maxLineBytes
+	case len(name) > 0:
+		s.hasOther = true
 	}
 }
 
@@ -123,11 +164,42 @@
 	if !s.inside {
 		return
 	}
+	if s.continued && !s.goesOn() {
+		s.astray = true
+		return
+	}
 	s.events++
 	if s.hasID {
 		s.id, s.lastID, s.lastUnknown = s.lastID, s.id, false
 	} else if s.hasData {
 		s.lastUnknown = true
 	}
-	s.inside, s.hasID, s.hasData = false, false, false
+	s.beginEvent()
+}
+
+// goesOn reports whether the current event goes on behind the last one: it has a later ID, or is a comment. Without a last
+// event any event with data does.
+func (s *Scanner) goesOn() bool {
+	switch {
+	case s.hasID:
+		return s.followsLast()
+	case s.hasData:
+		return len(s.lastID) == 0
+	default:
+		return !s.hasOther
+	}
+}
+
+// followsLast reports whether the ID of the current event is later than that of the last one. Numbers increase; of other
+// IDs it is only known that they differ.
+func (s *Scanner) followsLast() bool {
+	if len(s.lastID) == 0 {
+		return true
+	}
+	last, err := strconv.ParseUint(string(s.lastID), 10, 64)
+	if err != nil {
+		return !bytes.Equal(s.id, s.lastID)
+	}
+	id, err := strconv.ParseUint(string(s.id), 10, 64)
+	return err == nil && id > last
 }
