Own interface: a line that does not go on behind the last token ends the stream as broken

What callers would have seen: a line of a decode stream that is no token, such as the text of an error, became an empty token, and the tokens behind it in the same message moved by one or more; so did those behind a missing one.

Cause: the agent took the index of the first line of a message and trusted the others to follow.

Change: each line must have the next index; a line without one breaks the attempt off, which is continued elsewhere.

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -26,6 +26,8 @@
 	expireInterval = 100 * time.Millisecond
 	// maxPrefills is the largest number of prefills that wait or run at the engine.
 	maxPrefills = 256
+	// noIndex is the index of a line without one.
+	noIndex = -1
 	// maxLineBytes is the longest line of a decode stream in bytes.
 	maxLineBytes = 64 << 10
 )
@@ -278,7 +280,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	reader := bufio.NewReaderSize(resp.Body, maxLineBytes)
-	batch := fleet.TokenBatch{Attempt: r.Attempt}
+	batch := fleet.TokenBatch{Attempt: r.Attempt, FirstIndex: r.SentTokens}
 	for end := false; !end; {
 		if end, err = readChunk(reader, &batch); err != nil {
 			return err
@@ -289,27 +291,30 @@
 		if err := p.Notify(ctx, fleet.MethodTokens, batch); err != nil {
 			return GatewayError{Cause: err}
 		}
+		batch.FirstIndex += len(batch.Texts)
 		batch.Texts = nil
 	}
 	return nil
 }
 
 // readChunk reads the next line of a decode stream and adds its token to the batch. end is set at the regular end of
-// the stream. It fails when the stream ends early and on a line that can't be decoded.
+// the stream. It fails when the stream ends early, on a line that can't be decoded, and on one that does not go on behind
+// the token before it, such as the text of an error.
 func readChunk(reader *bufio.Reader, batch *fleet.TokenBatch) (end bool, err error) {
 	line, err := reader.ReadSlice('\n')
 	if err != nil {
 		return false, errors.Wrap(err, "read decode stream")
 	}
-	var chunk engine.Chunk
+	next := batch.FirstIndex + len(batch.Texts)
+	chunk := engine.Chunk{Index: noIndex}
 	if err := json.Unmarshal(line, &chunk); err != nil {
 		return false, errors.Wrap(err, "parse line of decode stream")
 	}
 	if chunk.End {
 		return true, nil
 	}
-	if len(batch.Texts) == 0 {
-		batch.FirstIndex = chunk.Index
+	if chunk.Index != next {
+		return false, errors.Errorf("line of decode stream has index %d, want %d", chunk.Index, next)
 	}
 	batch.Texts = append(batch.Texts, chunk.Text)
 	return false, nil
