A request whose answer has nothing to tell it by gets a connection of its own

Cause: only answers to callers' requests repeat the request's ID; all others took the first answer that came.

Change: an exchange without a way to recognise its answer opens a connection and closes it afterwards.

Evidence: TestLateCopyIsTakenForAnswer failed in both parts before.

--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -141,7 +141,8 @@
 	// NewConnection requests a new connection instead of an idle one.
 	NewConnection bool
 	// MatchesResponse reports whether a response with this header belongs to the request. Other responses are skipped.
-	// If it is nil, the first response is taken.
+	// If it is nil, nothing in a response tells it from a late copy of an earlier one. Such a request gets a connection of
+	// its own, which carries no other.
 	MatchesResponse func(http.Header) bool
 }
 
@@ -156,12 +157,14 @@
 	writeDone <-chan error
 	// bodyComplete is set once the body has been read to its end.
 	bodyComplete bool
+	// singleUse is set if the connection must not carry another exchange.
+	singleUse bool
 }
 
 // Do sends a request and returns the response as soon as its head has been read. The error is always a *Failure. When
 // the context ends, the connection is closed at once, also while the body is being read.
 func (e *Exchanger) Do(ctx context.Context, address string, r Request) (*Response, error) {
-	c, err := e.acquire(ctx, address, r.NewConnection)
+	c, err := e.acquire(ctx, address, r.NewConnection || r.MatchesResponse == nil)
 	if err != nil {
 		return nil, &Failure{SendState: NotSent, Cause: errors.Wrap(err, "open connection")}
 	}
@@ -172,7 +175,7 @@
 		c.close()
 		return nil, err
 	}
-	response.stopCancel = stopCancel
+	response.stopCancel, response.singleUse = stopCancel, r.MatchesResponse == nil
 	return response, nil
 }
 
@@ -252,7 +255,7 @@
 // reusable reports whether the connection can carry another exchange. A body that ends with the connection makes it
 // unusable.
 func (r *Response) reusable() bool {
-	if !r.bodyComplete || r.Response.Close || r.conn.reader.Buffered() > 0 {
+	if r.singleUse || !r.bodyComplete || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if !r.Delimiter().MarksEnd() {
