Own interface: engines, services and the platform are called on connections of their own

What could happen: a late copy of an engine's answer on a kept connection was taken for the answer to the next call: a prefill got the KV cache of another request, a call the result of another, and a copy of a list with another name an empty VM list.

Cause: net/http takes the first answer that comes on a kept connection, and these answers have no ID.

Change: each of these calls closes its connection. Agents are on the VM of their engine, lists are read once in a poll interval.

--- a/agent/executor/executor.go
+++ b/agent/executor/executor.go
@@ -345,6 +345,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create engine request")
 	}
+	// Answers have no ID. On a kept connection a late copy of an earlier one would be taken for this one's.
+	req.Close = true
 	resp, err := e.httpClient.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "call engine")
--- a/agent/invoker/invoker.go
+++ b/agent/invoker/invoker.go
@@ -302,6 +302,8 @@
 		return i.newResponse(fleet.CallNotExecuted, deduplicator.Result{})
 	}
 	req.GetBody = nil // net/http never resends a request without GetBody.
+	// Answers have no ID. On a kept connection a late copy of an earlier one would be taken for this one's.
+	req.Close = true
 	req.Header.Set("X-Account", call.Account)
 	resp, err := i.httpClient.Do(req)
 	if err != nil {
--- a/service/platform/platform.go
+++ b/service/platform/platform.go
@@ -158,6 +158,8 @@
 		return errors.Wrap(err, "create platform request")
 	}
 	req.Header.Set("User-Agent", c.processName)
+	// Answers have no ID. On a kept connection a late copy of one list would be taken for another.
+	req.Close = true
 	resp, err := c.httpClient.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "call platform")
