--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -118,12 +118,32 @@
 	*Forwarder
 	endpoints *scriptedEndpoints
 	list      []lister.Endpoint
-	log       *strings.Builder
+	log       *lockedLog
+}
+
+// lockedLog is a log that a test may read while probes in the background write it.
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write appends a log line.
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns all log lines.
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 func newTestForwarder(t *testing.T) *testForwarder {
 	t.Helper()
-	f := &testForwarder{endpoints: &scriptedEndpoints{}, log: &strings.Builder{}}
+	f := &testForwarder{endpoints: &scriptedEndpoints{}, log: &lockedLog{}}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: f.log}}
 	active := tracker.New(clock.SinceBoot)
 	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a seeded test
