A stream that began with other text than an event is not continued behind it

What callers would have seen: the text of an error, and behind it the whole stream of another endpoint (found by drawn exchanges: a response of status 200 whose body is the text of an error and ends inside an event).

Cause: a block without data and ID, with lines that are no fields of the format, counted as an event that changes nothing, so the position was known.

Change: behind such a block the position is not known, and nothing continues the stream. The fields event and retry still change nothing.

Evidence: TestStreamIsContinuedBehindOtherText and two cases of TestScan failed before; the draw is found no more.

--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -496,6 +496,22 @@
 	}
 }
 
+// A response that began with some other text than an event, and broke off, was continued by another endpoint's stream behind
+// that text (found by drawn exchanges).
+func TestStreamIsContinuedBehindOtherText(t *testing.T) {
+	const text = "HTTP/1.1 500 Internal Server Error\r\n\r\n"
+	f := newTestForwarder(t)
+	bodies := []string{text + "overloaded", "id: 1\ndata: a\n\n"}
+	f.endpoints.run = func(string) (*Response, error) {
+		r := answer("", 200)
+		r.ContentLength, r.Body, bodies = -1, strings.NewReader(bodies[0]), bodies[1:]
+		return r, nil
+	}
+	if w := f.send("/draft/x"); w.Code != 0 || w.Body.String() != text {
+		t.Errorf("got status %d and body %q, want a broken response with the text alone", w.Code, w.Body.String())
+	}
+}
+
 // What may stand in the rest of a sound stream must be passed on.
 func TestRestOfSoundStreamIsCutOff(t *testing.T) {
 	const first = "id: 4\ndata: a\n\n"
--- a/internal/proxy/scanner/scanner.go
+++ b/internal/proxy/scanner/scanner.go
@@ -14,6 +14,9 @@
 var (
 	idField   = []byte("id")
 	dataField = []byte("data")
+	// The following fields change nothing for the position in the stream.
+	eventField = []byte("event")
+	retryField = []byte("retry")
 )
 
 // Scanner follows one stream. The zero value stands at the start of a stream.
@@ -30,13 +33,14 @@
 	hasID bool
 	// hasData is set if the current event has a data field. Events without one change nothing for their reader.
 	hasData bool
+	// hasOther is set if the current event has a line that is neither a comment nor a field of the format. Without data that
+	// is no event, but some other text.
+	hasOther bool
 	// events counts the complete events.
 	events int
-	// lastID is the ID of the last complete event with data, and lastUnknown is set if that event has none.
+	// lastID is the ID of the last complete event with data, and lastUnknown is set if that event has none, or is no event.
 	lastID      []byte
 	lastUnknown bool
-	// hasOther is set if the current event has a line that is neither a comment nor a field read here.
-	hasOther bool
 	// continued is set while the bytes come from a response that must go on behind lastID, and astray once an event of it
 	// does not.
 	continued bool
@@ -154,7 +158,7 @@
 	case bytes.Equal(name, idField):
 		s.id = append(s.id[:0], bytes.TrimPrefix(value, []byte(" "))...)
 		s.hasID = length <= maxLineBytes
-	case len(name) > 0:
+	case len(name) > 0 && !bytes.Equal(name, eventField) && !bytes.Equal(name, retryField):
 		s.hasOther = true
 	}
 }
@@ -171,7 +175,7 @@
 	s.events++
 	if s.hasID {
 		s.id, s.lastID, s.lastUnknown = s.lastID, s.id, false
-	} else if s.hasData {
+	} else if s.hasData || s.hasOther {
 		s.lastUnknown = true
 	}
 	s.beginEvent()
--- a/internal/proxy/scanner/scanner_test.go
+++ b/internal/proxy/scanner/scanner_test.go
@@ -28,6 +28,8 @@
 		{"id in the data", "id: 3\ndata: see id: 9\n\n", "id: 3\ndata: see id: 9\n\n", 1, "3", true},
 		{"id field of another name", "idx: 3\ndata: a\n\n", "idx: 3\ndata: a\n\n", 1, "", false},
 		{"event without id", "id: 1\ndata: a\n\ndata: b\n\n", "id: 1\ndata: a\n\ndata: b\n\n", 2, "1", false},
+		{"other text", "HTTP/1.1 500 no\r\n\r\n", "HTTP/1.1 500 no\r\n\r\n", 1, "", false},
+		{"retry", "retry: 5\n\nevent: a\n\n", "retry: 5\n\nevent: a\n\n", 2, "", true},
 		{"comment", "id: 1\ndata: a\n\n: ping\n\n", "id: 1\ndata: a\n\n: ping\n\n", 2, "1", true},
 		{"blank lines", "id: 1\ndata: a\n\n\n\n", "id: 1\ndata: a\n\n\n\n", 1, "1", true},
 		{"long id", "id: " + long + "\ndata: a\n\n", "id: " + long + "\ndata: a\n\n", 1, "", false},
