A connection that ends inside a line of an answer is a broken connection

What callers would have seen: requests that crash endpoints in the middle of the head, or before the last bytes of a chunked body, ended one endpoint after the other: 7 and 8 of 8 (found by drawn exchanges).

Cause: where a connection ends inside a line, net/http reports a malformed line, or an unexpected end of the trailer, not the end of the connection. So nobody became a suspect.

Change: the connection remembers that it ended, and such errors wrap io.ErrUnexpectedEOF.

Evidence: TestConnectionThatEndsInsideLineLooksMalformed, an answer cut after each of its bytes: failed before inside lines of the head and in the trailer.

--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -200,7 +200,7 @@
 		response, err := http.ReadResponse(c.reader, r.Head) //nolint:bodyclose // Response.Close ends the exchange
 		c.unlimit()
 		if err != nil {
-			return nil, &Failure{SendState: PossiblySent, Cause: errors.Wrap(err, "read response")}
+			return nil, &Failure{SendState: PossiblySent, Cause: errors.Wrap(c.explain(err), "read response")}
 		}
 		if response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK {
 			continue
@@ -236,8 +236,11 @@
 // returns io.EOF also when the endpoint crashed in the middle of the body.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
-	if err == io.EOF {
+	switch {
+	case errors.Is(err, io.EOF):
 		r.bodyComplete = true
+	case err != nil:
+		err = r.conn.explain(err)
 	}
 	return n, err
 }
--- a/internal/proxy/exchanger/exchanger_test.go
+++ b/internal/proxy/exchanger/exchanger_test.go
@@ -149,6 +149,32 @@
 	}
 }
 
+// A connection that ended inside a line of the head or of the trailer was reported as a malformed line, so that a crash did
+// not look like one (found by drawn exchanges).
+func TestConnectionThatEndsInsideLineLooksMalformed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for n := range len(head) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, head[:n])
+			_ = c.(*net.TCPConn).CloseWrite() //nolint:forcetypeassert // a TCP listener accepts these
+		}()
+		_, err = sendRequest(t, newExchanger(), l.Addr().String())
+		if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("after %q: got error %v, want the end of the connection", head[:n], err)
+		}
+		_ = l.Close()
+	}
+}
+
 // Guards against a wrong send state. A request that was possibly sent may have run, so retrying it could run it twice.
 // The first endpoint closes the connection after reading the request; the second one does not listen.
 func TestFailureReportsWhetherRequestWasSent(t *testing.T) {
--- a/internal/proxy/exchanger/limitedconn.go
+++ b/internal/proxy/exchanger/limitedconn.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"io"
 	"net"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,8 @@
 	// remaining is the number of bytes that may still be read while limited is set.
 	remaining int
 	limited   bool
+	// ended is set once a read has met the ordinary end of the connection.
+	ended bool
 }
 
 // limitHead allows maxHeadBytes to be read until unlimit is called.
@@ -33,13 +36,23 @@
 
 // Read reads from the connection. It fails with errHeadTooLong if the limit is reached.
 func (c *limitedConn) Read(p []byte) (int, error) {
-	if !c.limited {
-		return c.Conn.Read(p)
-	}
-	if c.remaining <= 0 {
+	if c.limited && c.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.remaining)])
+	if c.limited {
+		p = p[:min(len(p), c.remaining)]
+	}
+	n, err := c.Conn.Read(p)
 	c.remaining -= n
+	c.ended = c.ended || errors.Is(err, io.EOF)
 	return n, err
 }
+
+// explain returns the error of parsing what was read. Where the connection ended inside a line of the head or of the
+// trailer, the parser reports only that it is malformed.
+func (c *limitedConn) explain(err error) error {
+	if !c.ended || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	return errors.Wrap(io.ErrUnexpectedEOF, err.Error())
+}
