Open suspicions and crashes that count are limited together

Before, a request waited only when it was suspected at three endpoints; with one crash that counted and two open suspicions a fourth endpoint could end (found by drawn exchanges: 4 ended under a booking, at most 3 may).

--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -22,10 +22,10 @@
 	restartListTimeout = 10 * time.Second
 	// maxClockDifference is the largest difference between the clocks of a gateway and an endpoint.
 	maxClockDifference = 2500 * time.Millisecond
-	// A request that is suspected at maxOpenSuspicions endpoints waits until it is decided whether they crashed, but not
-	// longer than openSuspicionTime.
-	maxOpenSuspicions = 3
-	openSuspicionTime = 5 * time.Second
+	// A request under which maxSuspectedCrashes endpoints crashed or are suspected to have crashed waits until that is
+	// decided, but not longer than openSuspicionTime.
+	maxSuspectedCrashes = 3
+	openSuspicionTime   = 5 * time.Second
 	// maxSuspectsPerEndpoint bounds the memory; further suspects are dropped.
 	maxSuspectsPerEndpoint = 64
 	// departedTimeout is how long an endpoint that is no longer listed is remembered. It may serve what it has for a while
@@ -291,11 +291,12 @@
 			brokenAt = append(brokenAt, suspects[i].disconnectedAt)
 		}
 	}
-	if len(brokenAt) < maxOpenSuspicions {
+	enough := max(1, maxSuspectedCrashes-t.quarantine.CrashCount(f, now))
+	if len(brokenAt) < enough {
 		return 0
 	}
 	slices.Sort(brokenAt)
-	return brokenAt[len(brokenAt)-maxOpenSuspicions] + openSuspicionTime - now
+	return brokenAt[len(brokenAt)-enough] + openSuspicionTime - now
 }
 
 // HasCrashed returns whether any crash counts against a request.
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -258,6 +258,11 @@
 	if v := tracker.Decide(poison, 2*time.Second); v.RetryAfter != 0 {
 		t.Errorf("got %+v after one endpoint was found running, want none", v)
 	}
+	tracker.RecordEndpointDown("a", crashtracker.ConnectionRefused, 2*time.Second)
+	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
+	if v := tracker.Decide(poison, 2*time.Second); v.RetryAfter != 5*time.Second {
+		t.Errorf("got %+v with one crash and two open suspicions, want a wait of 5 s", v)
+	}
 }
 
 // A prefill that crashes endpoints must not be cleared by a run that had none, and a run must not be sent on after both
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -40,6 +40,21 @@
 	return r != nil && !r.isCleared()
 }
 
+// CrashCount returns how many crashes count against the request.
+func (q *Quarantiner) CrashCount(f Fingerprint, now time.Duration) int {
+	r := q.lookup(f, now)
+	if r == nil {
+		return 0
+	}
+	n := 0
+	for _, c := range r.crashes {
+		if !c.cleared {
+			n++
+		}
+	}
+	return n
+}
+
 // IsRefused returns whether the request must be refused because it crashes endpoints.
 func (q *Quarantiner) IsRefused(f Fingerprint, now time.Duration) bool {
 	return q.Decide(f, now).Refused
