--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -43,7 +47,8 @@
 				t.Logf("seed %d: %d requests, %d served; injected %s; checked %s",
 					seed, r.requests, r.served, formatCounts(r.faultCounts), formatCounts(r.checkCounts))
 				for _, f := range r.findings {
-					t.Errorf("seed %d (past failure: %q): got finding %v, want none", seed, regressions[seed], f)
+					t.Errorf("seed %d (past failure: %q): got finding %v, want none; log:\n%s",
+						seed, regressions[seed], f, linesWith(t, a.Keep, seed, f.ID))
 				}
 				if r.served == 0 || r.checkCounts["at most once"] == 0 || r.checkCounts["served after recovery"] == 0 {
 					t.Errorf("seed %d: got no served request or no check of a main promise, want at least one each", seed)
@@ -52,3 +57,25 @@
 		}
 	})
 }
+
+// linesWith returns the log lines of a failed seed that name a request, with the names of their files.
+func linesWith(t *testing.T, keep string, seed uint64, id string) string {
+	t.Helper()
+	var out strings.Builder
+	files, err := filepath.Glob(filepath.Join(keep, fmt.Sprint("seed", seed), "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.Contains(line, `"`+id+`"`) {
+				out.WriteString(filepath.Base(file) + ": " + line + "\n")
+			}
+		}
+	}
+	return out.String()
+}
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -41,7 +41,7 @@
 	stagePrefill      = "prefill"
 	stageDecode       = "decode"
 	// services and limits are JSON parts of every configuration.
-	services = `[{"name":"llm","engine_kind":{"slot_count":12,"kv_capacity":100000,"kv_hold_s":0.5,"page_stride":10}},{"name":"desk"}]`
+	services = `[{"name":"llm","health_path":"/healthz","engine_kind":{"slot_count":12,"kv_capacity":100000,"kv_hold_s":0.5,"page_stride":10}},{"name":"desk","health_path":"/healthz"}]`
 	limits   = `{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}`
 )
 
