A restarted process that the list does not show yet is one crash, not one at each probe

What callers would have seen: a whole answer without a marked end, of an endpoint that had started again under its ID, broken off; a suspicion for each connection that it lost meanwhile.

Cause: the probe compared the reported start with the listed one, which is older until the store shows the new one.

Change: the prober remembers the start that a place reported last; the next probe compares with that.

TestRestartedProcessIsReplaced... failed before.

--- a/internal/proxy/prober/prober.go
+++ b/internal/proxy/prober/prober.go
@@ -18,6 +18,8 @@
 	settleTime = 5 * time.Millisecond
 	// answerTimeout limits a probe for which a request waits. It is longer than two round trips between regions.
 	answerTimeout = 200 * time.Millisecond
+	// maxReportedStarts limits the starts that are remembered.
+	maxReportedStarts = 1024
 	// watchTimeout limits each probe of a watch.
 	watchTimeout = time.Second
 )
@@ -98,6 +100,14 @@
 	waiting map[Process]*probe
 	// watched holds the processes that are being watched.
 	watched map[Process]bool
+	// reported holds the latest starts that processes reported, by address and ID. The endpoint list shows a start later.
+	reported map[place]int64
+}
+
+// place is where a process answered, and the ID for which it was asked.
+type place struct {
+	address    string
+	endpointID string
 }
 
 // probe is the probe of one process.
@@ -110,7 +120,7 @@
 
 // New returns a Prober. identify must ask what answers at the address of a process, on a new connection, who it is.
 func New(identify func(ctx context.Context, p Process) (Identity, error)) *Prober {
-	return &Prober{identify: identify, waiting: map[Process]*probe{}, watched: map[Process]bool{}}
+	return &Prober{identify: identify, waiting: map[Process]*probe{}, watched: map[Process]bool{}, reported: map[place]int64{}}
 }
 
 // Probe asks for a process, not before settleTime has passed. The error says why the verdict is Unknown.
@@ -157,8 +167,26 @@
 	case err != nil:
 		return Unknown, err
 	default:
-		return process.compare(identity), nil
+		return p.withReported(process, identity).compare(identity), nil
+	}
+}
+
+// withReported returns a process with the latest start that was reported at its place, if that is later than the one in the
+// list, and remembers the start that an answer reports.
+func (p *Prober) withReported(process Process, answered Identity) Process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := place{address: process.Address, endpointID: process.EndpointID}
+	if process.StartedAtMs != 0 {
+		process.StartedAtMs = max(process.StartedAtMs, p.reported[at])
+	}
+	if len(p.reported) >= maxReportedStarts {
+		clear(p.reported)
+	}
+	if answered.StartedAtMs != 0 {
+		p.reported[at] = answered.StartedAtMs
 	}
+	return process
 }
 
 // compare returns what an answer says about the process.
--- a/internal/proxy/prober/prober_test.go
+++ b/internal/proxy/prober/prober_test.go
@@ -110,3 +110,22 @@
 		t.Errorf("asked %d times, want 3", n)
 	}
 }
+
+// An endpoint that has just started again under its ID is listed with its earlier start for a while. That shows one crash,
+// not one at each probe (found by drawn exchanges: a whole answer without a marked end was broken off twice).
+func TestRestartedProcessIsReplacedAgainAndAgain(t *testing.T) {
+	start := int64(6)
+	p := prober.New(func(context.Context, prober.Process) (prober.Identity, error) {
+		return prober.Identity{StartedAtMs: start}, nil
+	})
+	listed := prober.Process{Address: "x", EndpointID: "a", StartedAtMs: 5}
+	for i, want := range []prober.Verdict{prober.Replaced, prober.Running, prober.Running} {
+		if got, _ := p.Probe(listed); got != want {
+			t.Errorf("probe %d: got %v, want %v", i, got, want)
+		}
+	}
+	start = 7
+	if got, _ := p.Probe(listed); got != prober.Replaced {
+		t.Errorf("got %v after another start, want replaced", got)
+	}
+}
