--- a/cmd/pistachiovane/cmds/edge_reused_address_test.go
+++ b/cmd/pistachiovane/cmds/edge_reused_address_test.go
@@ -238,6 +238,8 @@
 		"stream, other service": {"/note/x", "decode", otherService, 42},
 		"call, new ID":          {"/book/x", "", newID, 5},
 		"call, other service":   {"/book/x", "", otherService, 5},
+		"stream, silent":        {"/note/x", "decode", silentListener, 42},
+		"call, silent":          {"/book/x", "", silentListener, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
