--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -33,62 +33,6 @@
 	departedTimeout = time.Minute
 )
 
-// Decision is what became of a suspect.
-type Decision string
-
-// The decisions on a suspect. They appear in the logs.
-const (
-	// Counted means that the crash counts against the request.
-	Counted Decision = "counted"
-	// EndpointAnswered means that the endpoint answered afterwards, so that it has not crashed.
-	EndpointAnswered Decision = "endpoint answered"
-	// EndpointLeaving means that the endpoint was leaving, which ends connections without a crash.
-	EndpointLeaving Decision = "endpoint leaving"
-	// RecentlyServed means that the request completed at another endpoint shortly before or afterwards.
-	RecentlyServed Decision = "request served"
-	// NothingFound means that nothing has shown within suspectTimeout whether the endpoint crashed.
-	NothingFound Decision = "nothing found"
-	// TooManySuspects means that the endpoint has maxSuspectsPerEndpoint others.
-	TooManySuspects Decision = "too many suspects"
-)
-
-// Evidence is what a decision on a suspect is based on.
-type Evidence string
-
-// The evidence for decisions. It appears in the logs.
-const (
-	// ConnectionRefused means that nothing accepts connections at the address of the endpoint.
-	ConnectionRefused Evidence = "connection refused"
-	// ProcessReplaced means that another process answered at the address of the endpoint.
-	ProcessReplaced Evidence = "process replaced"
-	// ProcessRunning means that the process answered when it was asked who it is.
-	ProcessRunning Evidence = "process running"
-	// AnswerReceived means that an endpoint with the ID ran a request that was sent afterwards, or gave its ID.
-	AnswerReceived Evidence = "answer"
-	// EntryGone means that the endpoint's entry is no longer listed.
-	EntryGone Evidence = "entry gone"
-	// NewStart means that the list shows a later start of the endpoint.
-	NewStart Evidence = "new start"
-	// EntryLeaving means that the endpoint is listed as leaving, or has left the list before.
-	EntryLeaving Evidence = "entry leaving"
-	// RequestCompleted means that a run of the request completed.
-	RequestCompleted Evidence = "request completed"
-	// NoEvidence means that the suspect was dropped without any.
-	NoEvidence Evidence = "none"
-)
-
-// Outcome says whether a crash of an endpoint counts against a request, and why not.
-type Outcome struct {
-	Endpoint    string
-	Fingerprint quarantiner.Fingerprint
-	Decision    Decision
-	Evidence    Evidence
-	// Age is the time since the connection broke.
-	Age time.Duration
-	// Refused is set if the request is refused from now on.
-	Refused bool
-}
-
 // Endpoint is a listed endpoint.
 type Endpoint struct {
 	ID string
@@ -103,14 +47,6 @@
 	return before.StartedAtMs != 0 && e.StartedAtMs > before.StartedAtMs
 }
 
-// Work identifies what endpoints do for one request. A crash counts against the work during which it happened.
-type Work struct {
-	// Run is the fingerprint of the request.
-	Run quarantiner.Fingerprint
-	// Prefill is the fingerprint of its prefill at another endpoint. It is zero if there is never one.
-	Prefill quarantiner.Fingerprint
-}
-
 // suspect is a request whose connection to an endpoint broke while it was running.
 type suspect struct {
 	fingerprint    quarantiner.Fingerprint
@@ -271,34 +207,6 @@
 	}
 }
 
-// Decide returns whether a request may be sent to an endpoint.
-func (t *CrashTracker) Decide(f quarantiner.Fingerprint, now time.Duration) quarantiner.Verdict {
-	v := t.quarantine.Decide(f, now)
-	if !v.Refused {
-		v.RetryAfter = max(v.RetryAfter, t.openSuspicionRest(f, now))
-	}
-	return v
-}
-
-// openSuspicionRest returns how long a request has to wait because of suspicions that are not decided yet.
-func (t *CrashTracker) openSuspicionRest(f quarantiner.Fingerprint, now time.Duration) time.Duration {
-	var brokenAt []time.Duration
-	for _, suspects := range t.suspects {
-		i := slices.IndexFunc(suspects, func(s suspect) bool {
-			return s.fingerprint == f && now-s.disconnectedAt < openSuspicionTime
-		})
-		if i >= 0 {
-			brokenAt = append(brokenAt, suspects[i].disconnectedAt)
-		}
-	}
-	enough := max(1, maxSuspectedCrashes-t.quarantine.CrashCount(f, now))
-	if len(brokenAt) < enough {
-		return 0
-	}
-	slices.Sort(brokenAt)
-	return brokenAt[len(brokenAt)-enough] + openSuspicionTime - now
-}
-
 // HasCrashed returns whether any crash counts against a request.
 func (t *CrashTracker) HasCrashed(f quarantiner.Fingerprint, now time.Duration) bool {
 	return t.quarantine.IsSuspect(f, now)
@@ -309,30 +217,6 @@
 	return len(t.suspects[endpoint]) > 0
 }
 
-// DecideRun returns whether a run of a request may be sent to an endpoint. If its prefill crashes endpoints, it may run
-// without one, unless a run has crashed an endpoint too.
-func (t *CrashTracker) DecideRun(w Work, now time.Duration) quarantiner.Verdict {
-	v := t.Decide(w.Run, now)
-	if v.Refused || w.Prefill == 0 || !t.HasCrashed(w.Run, now) {
-		return v
-	}
-	if p := t.Decide(w.Prefill, now); p.Refused {
-		return p
-	}
-	return v
-}
-
-// DecidePrefill returns whether a prefill of a request may be sent to an endpoint.
-func (t *CrashTracker) DecidePrefill(w Work, now time.Duration) quarantiner.Verdict {
-	v := t.DecideRun(w, now)
-	if v.Refused {
-		return v
-	}
-	p := t.Decide(w.Prefill, now)
-	p.RetryAfter = max(p.RetryAfter, v.RetryAfter)
-	return p
-}
-
 // MustRefuse returns whether a request must not be sent again because it crashes endpoints.
 func (t *CrashTracker) MustRefuse(f quarantiner.Fingerprint, now time.Duration) bool {
 	return t.Decide(f, now).Refused
