The answer to a repeated probe clears all connections that broke before it asked

What callers could see: a request whose connection broke while an endpoint was already being asked in the background stayed a suspect although the process answered, waited, and was counted if the endpoint was taken away.

Cause: the answer counted from the beginning of the watch, not of the probe.

--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -111,11 +111,9 @@
 	if !ok {
 		return
 	}
-	askedAt := f.clock()
-	f.prober.Watch(p, func(v prober.Verdict, err error) (done bool) {
+	f.prober.Watch(p, func(v prober.Verdict, took time.Duration, err error) (done bool) {
 		f.logVerdict(p, v, err)
-		f.recordVerdict(endpointID, v, askedAt)
-		askedAt = f.clock()
+		f.recordVerdict(endpointID, v, f.clock()-took)
 		_, listed := f.controller.Process(endpointID)
 		return v != prober.Unknown || !listed
 	})
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -342,6 +342,28 @@
 	}
 }
 
+// A probe in the background may begin before one connection breaks and answer for a later one. Its answer must clear those
+// that broke before it asked, also if the watch began earlier.
+func TestAnswerToWatchLeavesLaterSuspect(t *testing.T) {
+	f := newTestForwarder(t)
+	var lost, asked atomic.Int64
+	f.endpoints.run = func(string) (*Response, error) { lost.Add(1); return nil, errLost }
+	f.endpoints.identify = func(address string) (prober.Identity, error) {
+		if asked.Add(1) < 9 {
+			return prober.Identity{}, context.DeadlineExceeded
+		}
+		return prober.Identity{EndpointID: address}, nil
+	}
+	f.send("/read/x")
+	time.Sleep(30 * time.Millisecond)
+	f.send("/read/y")
+	time.Sleep(2 * time.Second)
+	f.controller.SetEndpoints(nil)
+	if strings.Contains(f.log.String(), `"counted"`) {
+		t.Errorf("got crashes counted, want none of %d lost connections; log:\n%s", lost.Load(), f.log)
+	}
+}
+
 // A reservation is answered by any process at the address, so it shows nothing about the one that crashed.
 func TestReservationClearsSuspect(t *testing.T) {
 	f := newTestForwarder(t)
--- a/internal/proxy/prober/prober.go
+++ b/internal/proxy/prober/prober.go
@@ -144,8 +144,9 @@
 }
 
 // Watch asks for a process again and again until report returns true for the verdict, or for as long as its entry may
-// outlive it. It returns at once. A process that is being watched already is not watched twice.
-func (p *Prober) Watch(process Process, report func(v Verdict, err error) (done bool)) {
+// outlive it. report gets how long ago the probe began. Watch returns at once. A process that is being watched already is
+// not watched twice.
+func (p *Prober) Watch(process Process, report func(v Verdict, took time.Duration, err error) (done bool)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.watched[process] {
@@ -209,7 +210,7 @@
 type watch struct {
 	prober  *Prober
 	process Process
-	report  func(v Verdict, err error) (done bool)
+	report  func(v Verdict, took time.Duration, err error) (done bool)
 }
 
 // run probes after each of watchDelays.
@@ -217,7 +218,9 @@
 	defer w.end()
 	for _, delay := range watchDelays() {
 		time.Sleep(delay)
-		if w.report(w.prober.ask(w.process, watchTimeout)) {
+		startedAt := time.Now()
+		v, err := w.prober.ask(w.process, watchTimeout)
+		if w.report(v, time.Since(startedAt), err) {
 			return
 		}
 	}
--- a/internal/proxy/prober/prober_test.go
+++ b/internal/proxy/prober/prober_test.go
@@ -90,7 +90,7 @@
 	})
 	verdicts := make(chan prober.Verdict, 10)
 	for range 3 {
-		p.Watch(prober.Process{Address: "x", EndpointID: "a"}, func(v prober.Verdict, _ error) bool {
+		p.Watch(prober.Process{Address: "x", EndpointID: "a"}, func(v prober.Verdict, _ time.Duration, _ error) bool {
 			verdicts <- v
 			return v != prober.Unknown
 		})
