--- a/cmd/soak/endpoints.go
+++ b/cmd/soak/endpoints.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/soak/proxier"
@@ -49,7 +50,7 @@
 	if stage == "" {
 		service = plainService
 	}
-	e, err := standin.NewEndpoint(id, service, string(rune('a'+b.rng.IntN(3))), stage)
+	e, err := standin.NewEndpoint(id, service, domainOf(id), stage)
 	if err != nil {
 		return errors.Wrap(err, "start endpoint")
 	}
@@ -120,6 +121,12 @@
 	}
 }
 
+// domainOf returns the failure domain of an endpoint, one of three. Endpoints are added by several goroutines, so it depends
+// on the ID alone.
+func domainOf(id string) string {
+	return string(rune('a' + xxhash.Sum64String(id)%3))
+}
+
 // pickEndpoint returns a random endpoint, which may be leaving.
 func (b *testbed) pickEndpoint(rng *rand.Rand) *endpoint {
 	b.mu.Lock()
