One question for a process, after a break and behind an unmarked end; its answer is the evidence in the log

Both uses looked the process up, asked and logged on their own. The end without a mark kept only that the endpoint had crashed, so 'crash: decided' said 'connection refused' also where another process had answered. TestEvidenceBehindUnmarkedEndIsLogged failed for that one.

--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -26,8 +26,9 @@
 	response *Response
 	// executed is set if the response shows that the endpoint ran what it was sent.
 	executed bool
-	// ending is how the body of the response ended.
+	// ending is how the body of the response ended, and found what a probe has found behind an end that nobody marked.
 	ending ending
+	found  prober.Verdict
 }
 
 // reportContact tells the crash tracker what an attempt of a request at an endpoint has shown. If the connection broke,
@@ -36,7 +37,9 @@
 func (f *Forwarder) reportContact(j *job, c contact) (down bool) {
 	switch {
 	case c.ending == endedByCrash:
-		return f.suspect(j, c)
+		down = f.suspect(j, c)
+		f.recordVerdict(c.endpointID, c.found, c.attemptedAt)
+		return down
 	case isConnectionLost(c.err), c.ending == endedInsideEvent, c.ending == endedEmpty:
 		return f.suspect(j, c) && f.probe(c.endpointID).Gone()
 	case c.ending == endedUnconfirmed:
@@ -70,7 +73,7 @@
 }
 
 // suspect records that the connection to an endpoint broke while it ran a request. It returns false if that can't count
-// against the request. If the endpoint is known to have crashed, the crash counts at once.
+// against the request.
 func (f *Forwarder) suspect(j *job, c contact) (recorded bool) {
 	fingerprint := j.fingerprint
 	if c.isPrefill {
@@ -81,22 +84,26 @@
 	})
 	f.log.Info().Str("id", j.ID).Str("endpoint", c.endpointID).Str("fingerprint", fingerprint.String()).
 		Bool("prefill", c.isPrefill).Msg("crash: suspected")
-	if c.ending == endedByCrash {
-		f.recordVerdict(c.endpointID, prober.Refused, c.attemptedAt)
-	}
 	return recorded
 }
 
-// probe asks whether the process of an endpoint still runs, and tells the crash tracker. If the probe finds nothing, it is
-// repeated in the background.
-func (f *Forwarder) probe(endpointID string) prober.Verdict {
+// ask asks whether the process of an endpoint still runs. That stays unknown if the endpoint is not listed, or has asked for
+// a pause.
+func (f *Forwarder) ask(endpointID string) prober.Verdict {
 	p, ok := f.controller.Process(endpointID)
 	if !ok {
 		return prober.Unknown
 	}
-	askedAt := f.clock()
 	v, err := f.prober.Probe(p)
 	f.logVerdict(p, v, err)
+	return v
+}
+
+// probe asks whether the process of an endpoint still runs, and tells the crash tracker. If the probe finds nothing, it is
+// repeated in the background.
+func (f *Forwarder) probe(endpointID string) prober.Verdict {
+	askedAt := f.clock()
+	v := f.ask(endpointID)
 	f.recordVerdict(endpointID, v, askedAt)
 	if v == prober.Unknown {
 		f.watch(endpointID)
--- a/internal/proxy/forwarder/ending.go
+++ b/internal/proxy/forwarder/ending.go
@@ -64,27 +64,24 @@
 	case c.response.Delimiter.MarksEnd():
 		c.ending = endedComplete
 	default:
-		c.ending = f.confirmEnd(c.endpointID)
+		f.confirmEnd(c)
 	}
 }
 
-// confirmEnd returns how a body ended whose end is not marked. A process that crashes ends its connections like one that
+// confirmEnd records how a body ended whose end is not marked. A process that crashes ends its connections like one that
 // has sent a whole body, but it answers no probe afterwards. An endpoint that is leaving may exit behind its last response,
-// so its end shows nothing; one that has asked for a pause is not probed.
-func (f *Forwarder) confirmEnd(endpointID string) ending {
-	p, ok := f.controller.Process(endpointID)
-	if !ok || f.isLeaving(endpointID) {
-		return endedUnconfirmed
+// so its end shows nothing.
+func (f *Forwarder) confirmEnd(c *contact) {
+	if !f.isLeaving(c.endpointID) {
+		c.found = f.ask(c.endpointID)
 	}
-	v, err := f.prober.Probe(p)
-	f.logVerdict(p, v, err)
-	switch v {
+	switch c.found {
 	case prober.Running, prober.SameID:
-		return endedUnmarked
+		c.ending = endedUnmarked
 	case prober.Refused, prober.Replaced:
-		return endedByCrash
+		c.ending = endedByCrash
 	default:
-		return endedUnconfirmed
+		c.ending = endedUnconfirmed
 	}
 }
 
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -364,6 +364,28 @@
 	}
 }
 
+// The log must say what has shown the crash behind an end that nobody marked.
+func TestEvidenceBehindUnmarkedEndIsLogged(t *testing.T) {
+	for want, identify := range map[string]func(address string) (prober.Identity, error){
+		"process replaced":   func(string) (prober.Identity, error) { return prober.Identity{EndpointID: "other"}, nil },
+		"connection refused": func(string) (prober.Identity, error) { return prober.Identity{}, errRefused },
+	} {
+		t.Run(want, func(t *testing.T) {
+			f := newTestForwarder(t)
+			f.endpoints.identify = identify
+			f.endpoints.run = func(string) (*Response, error) {
+				r := answer("b", 200)
+				r.ContentLength, r.Delimiter = -1, delimiter.ConnectionEnd
+				return r, nil
+			}
+			f.send("/read/x")
+			if !strings.Contains(f.log.String(), `"outcome":"counted","evidence":"`+want+`"`) {
+				t.Errorf("got no crash counted by %q; log:\n%s", want, f.log)
+			}
+		})
+	}
+}
+
 // A reservation is answered by any process at the address, so it shows nothing about the one that crashed.
 func TestReservationClearsSuspect(t *testing.T) {
 	f := newTestForwarder(t)
