Whether a request is refused is asked where that is kept

MustRefuse, called for each decision on a suspect, also went through all open suspicions, which never make it true; the quarantiner has the answer. IsSuspect and CrashCount count in one place.

--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -219,7 +219,7 @@
 
 // MustRefuse returns whether a request must not be sent again because it crashes endpoints.
 func (t *CrashTracker) MustRefuse(f quarantiner.Fingerprint, now time.Duration) bool {
-	return t.Decide(f, now).Refused
+	return t.quarantine.IsRefused(f, now)
 }
 
 // RefusedRequests returns the requests that must not be sent.
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -36,8 +36,7 @@
 
 // IsSuspect returns whether the request was running at any endpoint that crashed, and has not completed since.
 func (q *Quarantiner) IsSuspect(f Fingerprint, now time.Duration) bool {
-	r := q.lookup(f, now)
-	return r != nil && !r.isCleared()
+	return q.CrashCount(f, now) > 0
 }
 
 // CrashCount returns how many crashes count against the request.
