Own interface: an accepted connection is no identity

The agent's probe made one up, only to be told 'same ID'; nothing is known of a service behind an accepted connection, and that is what it says now.

--- a/agent/invoker/invoker.go
+++ b/agent/invoker/invoker.go
@@ -79,14 +79,14 @@
 }
 
 // connect opens a connection to the service and closes it again. A service does not say who it is: if a connection is
-// accepted, it may have started again, so callers are told that nobody marked the end of its answer.
+// accepted, nothing is known, so callers are told that nobody marked the end of its answer.
 func connect(ctx context.Context, p prober.Process) (prober.Identity, error) {
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", p.Address)
 	if err != nil {
 		return prober.Identity{}, err
 	}
-	return prober.Identity{EndpointID: p.EndpointID}, c.Close()
+	return prober.Identity{}, c.Close()
 }
 
 // Drain makes the invoker refuse new calls. Calls in progress continue.
@@ -325,7 +325,7 @@
 
 // isDown reports whether nothing accepts connections at the address of the service.
 func (i *Invoker) isDown(address string) bool {
-	v, _ := i.prober.Probe(prober.Process{Address: address, EndpointID: i.serviceURL})
+	v, _ := i.prober.Probe(prober.Process{Address: address})
 	return v == prober.Refused
 }
 
--- a/internal/proxy/prober/prober.go
+++ b/internal/proxy/prober/prober.go
@@ -45,7 +45,7 @@
 	HealthPath string
 }
 
-// Identity is what a process says of itself. At least one field is set.
+// Identity is what a process says of itself. The zero value says nothing.
 type Identity struct {
 	EndpointID  string
 	StartedAtMs int64
