--- a/cmd/pistachiovane/cmds/edge_crash_test.go
+++ b/cmd/pistachiovane/cmds/edge_crash_test.go
@@ -160,14 +160,7 @@
 // waitUntilListed waits until the gateway lists an endpoint that has not crashed.
 func (env *crashEnv) waitUntilListed(e *standin.Endpoint) {
 	env.t.Helper()
-	env.waitFor(func() bool {
-		for _, listed := range env.state().Endpoints {
-			if listed.ID == e.ID {
-				return true
-			}
-		}
-		return false
-	}, "the new endpoint should be listed")
+	env.waitFor(func() bool { return env.lists(e.ID) }, "the new endpoint should be listed")
 }
 
 // An endpoint that starts again under its ID and address must not hide that it crashed.
--- a/cmd/pistachiovane/cmds/edge_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_env_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/process/daemon"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/responder"
 	"github.com/pistachiovane/pistachiovane/platform"
@@ -132,6 +135,11 @@
 	return s
 }
 
+// lists reports whether the gateway lists an endpoint.
+func (g *testGateway) lists(id string) bool {
+	return slices.ContainsFunc(g.state().Endpoints, func(e lister.Endpoint) bool { return e.ID == id })
+}
+
 // availableTokens returns the tokens that the account may still spend.
 func (g *testGateway) availableTokens() float64 {
 	return g.state().AvailableTokens["acc"]
@@ -232,3 +240,15 @@
 	b.with(func() { s = b.buffer.String() })
 	return s
 }
+
+// maxReportedLines limits the log lines in a report.
+const maxReportedLines = 40
+
+// linesWith returns the latest log lines with any of the texts.
+func (env *testEnv) linesWith(texts ...string) string {
+	lines := strings.Split(env.log.String(), "\n")
+	lines = slices.DeleteFunc(lines, func(line string) bool {
+		return !slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) })
+	})
+	return strings.Join(lines[max(0, len(lines)-maxReportedLines):], "\n")
+}
--- a/cmd/pistachiovane/cmds/edge_exchange_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_exchange_env_test.go
@@ -60,14 +60,7 @@
 
 // listsAny reports whether a gateway lists any of the endpoints.
 func (env *exchangeEnv) listsAny(ids ...string) bool {
-	for _, g := range env.gateways {
-		for _, e := range g.state().Endpoints {
-			if slices.Contains(ids, e.ID) {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(env.gateways, func(g *testGateway) bool { return slices.ContainsFunc(ids, g.lists) })
 }
 
 // refill starts endpoints in the place of those that are spent, and waits until the gateway lists enough of them.
--- a/cmd/pistachiovane/cmds/edge_exchanges_test.go
+++ b/cmd/pistachiovane/cmds/edge_exchanges_test.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -113,24 +111,12 @@
 	env.mu.Unlock()
 	for _, q := range requests {
 		for _, finding := range env.judge.Judge(q, played) {
-			findings = append(findings, fmt.Sprintf("%s: %s; log:\n%s", q.ID, finding, env.linesWith(`"`+q.ID+`"`, `"crash: `)))
+			findings = append(findings, fmt.Sprintf("%s: %s; log:\n%s", q.ID, finding, env.linesWith(`"`+q.ID+`"`, crashLines)))
 		}
 	}
 	return findings
 }
 
-// maxReportedLines limits the log lines in a report.
-const maxReportedLines = 40
-
-// linesWith returns the latest log lines with any of the texts.
-func (env *exchangeEnv) linesWith(texts ...string) string {
-	lines := strings.Split(env.log.String(), "\n")
-	lines = slices.DeleteFunc(lines, func(line string) bool {
-		return !slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) })
-	})
-	return strings.Join(lines[max(0, len(lines)-maxReportedLines):], "\n")
-}
-
 // crash repeats a request that crashes each endpoint that runs it, or prefills it, and returns what is wrong.
 func (env *exchangeEnv) crash(r drawer.Crasher) (findings []string) {
 	env.mu.Lock()
@@ -163,7 +149,7 @@
 	plainRestart := r.Route < drawer.Draft && r.Exchange.Successor == scripter.SameID
 	if n := reader.CountCrashes(played); n > most && !plainRestart {
 		findings = append(findings, fmt.Sprintf("%d endpoints ended under one request, at most %d may; log:\n%s",
-			n, most, env.linesWith(`"crash: `)))
+			n, most, env.linesWith(crashLines)))
 	}
 	return findings
 }
--- a/cmd/pistachiovane/cmds/edge_list_test.go
+++ b/cmd/pistachiovane/cmds/edge_list_test.go
@@ -4,12 +4,10 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/platform/standin"
 )
 
@@ -102,11 +100,6 @@
 	}
 }
 
-// lists reports whether the gateway lists an endpoint.
-func (env *testEnv) lists(id string) bool {
-	return slices.ContainsFunc(env.state().Endpoints, func(e lister.Endpoint) bool { return e.ID == id })
-}
-
 // sendOddChanges sends the gateway a message of a peer with odd changes of the endpoint list.
 func (env *testEnv) sendOddChanges() {
 	env.t.Helper()
--- a/cmd/pistachiovane/cmds/edge_reused_address_test.go
+++ b/cmd/pistachiovane/cmds/edge_reused_address_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +29,9 @@
 	bindTimeout = time.Second
 )
 
+// crashLines is a text in all log lines about crashes.
+const crashLines = `"message":"crash: `
+
 // successor is what accepts connections at the address of an endpoint that crashed.
 type successor int
 
@@ -173,14 +174,6 @@
 	}
 }
 
-// crashLog returns the log lines about crashes.
-func (env *reuseEnv) crashLog() string {
-	lines := slices.DeleteFunc(strings.Split(env.log.String(), "\n"), func(line string) bool {
-		return !strings.Contains(line, `"message":"crash: `)
-	})
-	return strings.Join(lines, "\n")
-}
-
 // A crashed endpoint's address accepted connections again before anybody was refused there, which was taken for a sign that
 // it had not crashed: 27 to 95 endpoints ended under one request (issue 36).
 func TestEdgeTakesReusedAddressForSurvivingEndpoint(t *testing.T) {
@@ -219,7 +212,7 @@
 			t.Logf("%d endpoints ended, %d of them late", all, late)
 			if all == 0 || late > maxLateCrashes {
 				t.Errorf("got %d endpoints ended under one request, %d of them late, want at most %d late; log:\n%s",
-					all, late, maxLateCrashes, env.crashLog())
+					all, late, maxLateCrashes, env.linesWith(crashLines))
 			}
 		})
 	}
@@ -255,7 +248,7 @@
 			resp := env.sendBody(c.path, "sound")
 			if resp.status == http.StatusOK && resp.err == nil {
 				t.Errorf("got a response that looks complete, with body %q, from an endpoint that crashed; log:\n%s",
-					resp.body, env.crashLog())
+					resp.body, env.linesWith(crashLines))
 			}
 		})
 	}
