--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -14,6 +14,9 @@
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
+// maxLoggedParts limits the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
 // contact is what an attempt has shown about its endpoint.
 type contact struct {
 	endpointID  string
@@ -83,10 +86,16 @@
 		recorded = t.RecordBrokenConnection(c.endpointID, fingerprint, now)
 	})
 	f.log.Info().Str("id", j.ID).Str("endpoint", c.endpointID).Str("fingerprint", fingerprint.String()).
-		Bool("prefill", c.isPrefill).Msg("crash: suspected")
+		Bool("prefill", c.isPrefill).Strs("parts", loggedParts(j)).Msg("crash: suspected")
 	return recorded
 }
 
+// loggedParts returns the IDs of the parts of the prompt that other requests may share, at most maxLoggedParts.
+func loggedParts(j *job) []string {
+	shared := j.PromptParts[:max(0, len(j.PromptParts)-1)]
+	return shared[:min(len(shared), maxLoggedParts)]
+}
+
 // ask asks whether the process of an endpoint still runs. That stays unknown if the endpoint is not listed, or has asked for
 // a pause.
 func (f *Forwarder) ask(endpointID string) prober.Verdict {
--- a/internal/proxy/forwarder/ports.go
+++ b/internal/proxy/forwarder/ports.go
@@ -35,6 +35,9 @@
 	MaxOutputTokens int
 	// ExpectedOutputTokens is the caller's estimate of the number of generated tokens. It is zero if there is none.
 	ExpectedOutputTokens int
+	// PromptParts holds the IDs of the parts of the prompt in order. Other requests may share any of them but the last, which
+	// belongs to the request itself or to its session. It is empty if the caller named none.
+	PromptParts []string
 	// LastEventID is the ID of the event after which the caller resumes a stream. It is empty for a new stream.
 	LastEventID string
 	// HTTP10 is set if the caller speaks HTTP/1.0, which has no chunks.
