--- a/cmd/pistachiovane/cmds/edge_crash_test.go
+++ b/cmd/pistachiovane/cmds/edge_crash_test.go
@@ -16,17 +16,32 @@
 	maxEndedEndpoints = 3
 )
 
-// crashEnv is a deployment with many endpoints that requests with crashingBody crash.
+// crashEnv is a deployment with many endpoints that some requests crash.
 type crashEnv struct {
 	*testEnv
-	// endpoints holds all endpoints that such a request can crash.
+	// endpoints holds all endpoints that such a request can crash, and crashes reports whether a run is one of them.
 	endpoints []*standin.Endpoint
+	crashes   func(r standin.Run) bool
 }
 
-// newCrashEnv starts a deployment in which endpoints of the stage crash. An empty stage means the plain service.
+// crashOptions describe a crashEnv. An empty stage means the plain service. A nil function crashes means isCrashing.
+type crashOptions struct {
+	stage               string
+	gateways, endpoints int
+	crashes             func(r standin.Run) bool
+}
+
+// newCrashEnv starts a deployment in which eight endpoints of the stage crash under requests with crashingBody.
 func newCrashEnv(t *testing.T, stage string, gateways int) *crashEnv {
 	t.Helper()
-	env := &crashEnv{testEnv: newTestEnv(t)}
+	return newCrashEnvWith(t, crashOptions{stage: stage, gateways: gateways, endpoints: 8, crashes: isCrashing})
+}
+
+// newCrashEnvWith starts a deployment in which endpoints crash.
+func newCrashEnvWith(t *testing.T, o crashOptions) *crashEnv {
+	t.Helper()
+	stage, gateways := o.stage, o.gateways
+	env := &crashEnv{testEnv: newTestEnv(t), crashes: o.crashes}
 	for range gateways - 1 {
 		env.addGateway()
 	}
@@ -40,10 +55,10 @@
 		}
 	}
 	for _, e := range env.endpoints {
-		e.Crashes = isCrashing
+		e.Crashes = env.crashes
 	}
 	listed := len(env.state().Endpoints)
-	for len(env.endpoints) < 8 {
+	for len(env.endpoints) < o.endpoints {
 		env.addCrashing(stage)
 		listed++
 	}
@@ -61,13 +76,13 @@
 // isCrashing reports whether a run is one of a request with crashingBody.
 func isCrashing(r standin.Run) bool { return r.Body == crashingBody }
 
-// addCrashing starts a further endpoint that requests with crashingBody crash.
+// addCrashing starts a further endpoint that crashes under the crashing requests.
 func (env *crashEnv) addCrashing(stage string) {
 	env.t.Helper()
 	env.startCrashing("127.0.0.1:0", fmt.Sprintf("c%d", len(env.endpoints)), stage)
 }
 
-// startCrashing starts an endpoint with the given address and ID that requests with crashingBody crash.
+// startCrashing starts an endpoint with the given address and ID that crashes under the crashing requests.
 func (env *crashEnv) startCrashing(address, id, stage string) {
 	env.t.Helper()
 	e, err := standin.NewEndpointAt(address, id, serviceOf(stage), "a", stage, env.makeCrashing)
@@ -79,10 +94,10 @@
 	env.endpoints = append(env.endpoints, e)
 }
 
-// makeCrashing makes requests with crashingBody crash an endpoint. Its streams are like those of the first endpoint.
+// makeCrashing makes the crashing requests crash an endpoint. Its streams are like those of the first endpoint.
 func (env *crashEnv) makeCrashing(e *standin.Endpoint) {
 	e.EventsPerStream, e.EventInterval = env.endpoints[0].EventsPerStream, env.endpoints[0].EventInterval
-	e.Crashes = isCrashing
+	e.Crashes = env.crashes
 }
 
 // serviceOf returns the service of the endpoints of a stage. An empty stage means the plain service.
@@ -148,7 +163,7 @@
 // of 400 ms.
 func newSingleEndpointEnv(t *testing.T) *crashEnv {
 	t.Helper()
-	env := &crashEnv{testEnv: newTestEnv(t)}
+	env := &crashEnv{testEnv: newTestEnv(t), crashes: isCrashing}
 	env.store.Remove("servers/d2")
 	d1 := env.modelEndpoints["d1"]
 	d1.Crashes, d1.EventsPerStream, d1.EventInterval = isCrashing, 40, 10*time.Millisecond
--- a/cmd/pistachiovane/cmds/edge_reused_address_test.go
+++ b/cmd/pistachiovane/cmds/edge_reused_address_test.go
@@ -55,9 +55,9 @@
 	delay time.Duration
 
 	// mu guards the fields below.
-	mu      sync.Mutex
-	closed  bool
-	crashes []time.Time
+	mu         sync.Mutex
+	closed     bool
+	crashTimes []time.Time
 	// started holds what was started after crashes.
 	started []*standin.Endpoint
 }
@@ -66,11 +66,16 @@
 // crash. An empty stage means the plain service.
 func newReuseEnv(t *testing.T, stage string, s successor, delay time.Duration) *reuseEnv {
 	t.Helper()
-	env := &reuseEnv{crashEnv: newCrashEnv(t, stage, 2), stage: stage, successor: s, delay: delay}
+	return newReuseEnvOf(newCrashEnv(t, stage, 2), stage, s, delay)
+}
+
+// newReuseEnvOf makes the crashed endpoints of a deployment come back.
+func newReuseEnvOf(crash *crashEnv, stage string, s successor, delay time.Duration) *reuseEnv {
+	env := &reuseEnv{crashEnv: crash, stage: stage, successor: s, delay: delay}
 	for _, e := range env.endpoints {
 		e.SetOnCrash(env.onCrash(e.Address(), e.ID))
 	}
-	t.Cleanup(env.stop)
+	env.t.Cleanup(env.stop)
 	return env
 }
 
@@ -79,7 +84,7 @@
 	return func() {
 		env.mu.Lock()
 		defer env.mu.Unlock()
-		env.crashes = append(env.crashes, time.Now())
+		env.crashTimes = append(env.crashTimes, time.Now())
 		env.later(env.delay, func() { env.comeBack(address, id) })
 	}
 }
@@ -129,7 +134,7 @@
 	env.later(entryLifetime, func() { env.store.Remove("servers/" + id) })
 }
 
-// start starts an endpoint that requests with crashingBody crash and that comes back in turn. The lock must be held.
+// start starts an endpoint that crashes under the crashing requests and comes back in turn. The lock must be held.
 func (env *reuseEnv) start(address, id, stage string) *standin.Endpoint {
 	for startedAt := time.Now(); ; time.Sleep(time.Millisecond) {
 		e, err := standin.NewEndpointAt(address, id, serviceOf(stage), "a", stage, env.makeCrashing, func(e *standin.Endpoint) {
@@ -151,16 +156,17 @@
 	env.store.Put(e.StoreEntry("ready"))
 }
 
-// crashCounts returns how many endpoints have crashed, and how many of them later than contactTime after the third.
-func (env *reuseEnv) crashCounts() (all, late int) {
+// crashCounts returns how many endpoints have crashed, and how many of them later than contactTime after the crash with
+// the given number.
+func (env *reuseEnv) crashCounts(number int) (all, late int) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
-	for _, at := range env.crashes {
-		if len(env.crashes) > 2 && at.Sub(env.crashes[2]) > contactTime {
+	for _, at := range env.crashTimes {
+		if len(env.crashTimes) >= number && at.Sub(env.crashTimes[number-1]) > contactTime {
 			late++
 		}
 	}
-	return len(env.crashes), late
+	return len(env.crashTimes), late
 }
 
 // repeatCrashing repeats the crashing request for crashTestTime, at both gateways in turn.
@@ -208,7 +214,7 @@
 			}
 			env := newReuseEnv(t, c.stage, c.successor, c.delay)
 			env.repeatCrashing(c.path)
-			all, late := env.crashCounts()
+			all, late := env.crashCounts(maxEndedEndpoints)
 			t.Logf("%d endpoints ended, %d of them late", all, late)
 			if all == 0 || late > maxLateCrashes {
 				t.Errorf("got %d endpoints ended under one request, %d of them late, want at most %d late; log:\n%s",
