--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -4,13 +4,15 @@
 // another process answers there, its entry is gone although it was not leaving, or it has started again. Only an answer
 // of the process itself shows that it has not crashed; its address may be in use again by another process, and an
 // endpoint may start again under its ID. Which request is the cause of the crashes that count is decided by package
-// quarantiner.
+// quarantiner, and which part of prompts that requests share by package attributor.
 package crashtracker
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
@@ -31,6 +33,8 @@
 	// departedTimeout is how long an endpoint that is no longer listed is remembered. It may serve what it has for a while
 	// and then close its connections.
 	departedTimeout = time.Minute
+	// maxBrokenRuns limits the broken runs that are remembered for what their requests share.
+	maxBrokenRuns = 512
 )
 
 // Endpoint is a listed endpoint.
@@ -47,10 +51,25 @@
 	return before.StartedAtMs != 0 && e.StartedAtMs > before.StartedAtMs
 }
 
-// suspect is a request whose connection to an endpoint broke while it was running.
+// Run is a run or a prefill of a request at an endpoint.
+type Run struct {
+	Fingerprint quarantiner.Fingerprint
+	// Parts holds what the run shares with those of other requests.
+	Parts []attributor.Feature
+	// StartedAt is when it was sent to the endpoint.
+	StartedAt time.Duration
+}
+
+// suspect is a run whose connection to an endpoint broke.
 type suspect struct {
+	// id tells the run from all others.
+	id             uint64
 	fingerprint    quarantiner.Fingerprint
+	parts          []attributor.Feature
+	startedAt      time.Duration
 	disconnectedAt time.Duration
+	// served is set if the request itself is not suspected, as it completed elsewhere. Its parts still are.
+	served bool
 	// answeredAt is when an endpoint with the ID answered, if the suspect was cleared by that.
 	answeredAt time.Duration
 }
@@ -58,6 +77,7 @@
 // CrashTracker holds the suspects of each endpoint and the attributed crashes. It is not safe for concurrent use.
 type CrashTracker struct {
 	quarantine *quarantiner.Quarantiner
+	parts      *attributor.Attributor
 	served     *recentSet
 	suspects   map[string][]suspect
 	// cleared holds the suspects that an answer has cleared, by endpoint, until it is known that this was not the answer of
@@ -73,7 +93,7 @@
 // New returns a CrashTracker that remembers crashes for the given window and for at most limit requests.
 func New(window time.Duration, limit int) *CrashTracker {
 	return &CrashTracker{
-		quarantine: quarantiner.New(window, limit), served: newRecentSet(), suspects: map[string][]suspect{},
+		quarantine: quarantiner.New(window, limit), parts: attributor.New(window, maxBrokenRuns), served: newRecentSet(), suspects: map[string][]suspect{},
 		cleared: map[string][]suspect{}, listed: map[string]Endpoint{}, departed: map[string]time.Duration{},
 	}
 }
@@ -115,16 +135,19 @@
 	return departed || t.listed[endpoint].Leaving
 }
 
-// RecordBrokenConnection records that the connection of a running request to an endpoint broke. It returns false if that
-// can't count against the request.
-func (t *CrashTracker) RecordBrokenConnection(endpoint string, f quarantiner.Fingerprint, now time.Duration) bool {
-	s := suspect{fingerprint: f, disconnectedAt: now}
+// RecordBrokenConnection records that the connection of a run to an endpoint broke. It returns false if that can't count
+// against the request.
+func (t *CrashTracker) RecordBrokenConnection(endpoint string, r Run, now time.Duration) bool {
+	s := suspect{
+		id: rand.Uint64(), fingerprint: r.Fingerprint, parts: r.Parts, startedAt: r.StartedAt, //nolint:gosec // not a secret
+		disconnectedAt: now, served: t.served.contains(r.Fingerprint, now),
+	}
 	suspects := t.suspects[endpoint]
 	switch {
 	case t.IsLeaving(endpoint):
 		t.decide(endpoint, s, EndpointLeaving, EntryLeaving, now)
 		return false
-	case t.served.contains(f, now):
+	case s.served && len(s.parts) == 0:
 		t.decide(endpoint, s, RecentlyServed, RequestCompleted, now)
 		return false
 	case len(suspects) >= maxSuspectsPerEndpoint:
@@ -189,21 +212,23 @@
 	delete(t.cleared, endpoint)
 }
 
-// RecordServed records that a request completed, so that it is not the cause of any crash so far.
-func (t *CrashTracker) RecordServed(f quarantiner.Fingerprint, now time.Duration) {
-	t.served.add(f, now)
-	t.quarantine.Clear(f, now)
+// RecordServed records that a run of a request completed, so that the request is not the cause of any crash so far, and the
+// parts of its prompt not that of any before the run began.
+func (t *CrashTracker) RecordServed(r Run, now time.Duration) {
+	t.served.add(r.Fingerprint, now)
+	t.quarantine.Clear(r.Fingerprint, now)
+	t.parts.RecordServed(r.Parts, r.StartedAt, now)
 	for endpoint := range t.cleared {
-		keep(t.cleared, endpoint, func(s suspect) bool { return s.fingerprint != f })
+		keep(t.cleared, endpoint, func(s suspect) bool { return s.fingerprint != r.Fingerprint || len(s.parts) > 0 })
 	}
-	for endpoint := range t.suspects {
-		t.keepSuspects(endpoint, func(s suspect) bool {
-			if s.fingerprint != f {
-				return true
+	for endpoint, suspects := range t.suspects {
+		for i := range suspects {
+			if s := &suspects[i]; s.fingerprint == r.Fingerprint && !s.served {
+				s.served = true
+				t.decide(endpoint, *s, RecentlyServed, RequestCompleted, now)
 			}
-			t.decide(endpoint, s, RecentlyServed, RequestCompleted, now)
-			return false
-		})
+		}
+		t.keepSuspects(endpoint, func(s suspect) bool { return !s.served || len(s.parts) > 0 })
 	}
 }
 
@@ -243,6 +268,29 @@
 	t.quarantine.Merge(records, now)
 }
 
+// NextPartReports returns what the next message tells the peers about the parts of prompts, see attributor.NextReports. For a
+// peer that has just started, newPeerRuns broken runs with blamed parts are added.
+func (t *CrashTracker) NextPartReports(maxChanges, maxOthers, newPeerRuns int, now time.Duration) attributor.Reports {
+	out := t.parts.NextReports(maxChanges, maxOthers, now)
+	out.Runs = append(out.Runs, t.parts.BlamedReports(newPeerRuns, now).Runs...)
+	return out
+}
+
+// MergeParts adds what a peer told about the parts of prompts.
+func (t *CrashTracker) MergeParts(r attributor.Reports, now time.Duration) {
+	t.parts.Merge(r, now)
+}
+
+// BlamedParts returns the parts of prompts with which requests are refused.
+func (t *CrashTracker) BlamedParts(now time.Duration) []attributor.Feature {
+	return t.parts.Blamed(now)
+}
+
+// TakePartChanges returns the parts that became blamed or stopped being blamed since its last call.
+func (t *CrashTracker) TakePartChanges(now time.Duration) []attributor.Change {
+	return t.parts.TakeChanges(now)
+}
+
 // ExpireSuspects drops the suspects that have waited for too long. It must be called regularly.
 func (t *CrashTracker) ExpireSuspects(now time.Duration) {
 	for endpoint := range t.cleared {
@@ -271,11 +319,18 @@
 	suspects := t.suspects[endpoint]
 	delete(t.suspects, endpoint)
 	for _, s := range suspects {
-		t.quarantine.RecordEarlierCrash(s.fingerprint, endpoint, s.disconnectedAt, now)
+		t.parts.RecordCrash(s.id, endpoint, s.parts, s.startedAt, s.disconnectedAt, now)
+		if !s.served {
+			t.quarantine.RecordEarlierCrash(s.fingerprint, endpoint, s.disconnectedAt, now)
+		}
 	}
 	// All suspects count before any of them is judged.
 	for _, s := range suspects {
-		t.decide(endpoint, s, Counted, e, now)
+		d := Counted
+		if s.served {
+			d = PartsCounted
+		}
+		t.decide(endpoint, s, d, e, now)
 	}
 }
 
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -15,12 +15,12 @@
 // A request that crashes each endpoint that runs it must be stopped after the second crash, and only for the window.
 func TestRequestThatCrashedTwoEndpointsIsSentAgain(t *testing.T) {
 	tracker := crashtracker.New(time.Minute, 100)
-	tracker.RecordBrokenConnection("a", poison, 0)
+	tracker.RecordBrokenConnection("a", crashtracker.Run{Fingerprint: poison}, 0)
 	tracker.RecordEndpointDown("a", crashtracker.ConnectionRefused, time.Second)
 	if tracker.MustRefuse(poison, time.Second) {
 		t.Error("got a refusal after one crash, want none")
 	}
-	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
+	tracker.RecordBrokenConnection("b", crashtracker.Run{Fingerprint: poison}, 2*time.Second)
 	tracker.RecordEndpointDown("b", crashtracker.ConnectionRefused, 3*time.Second)
 	if !tracker.MustRefuse(poison, 3*time.Second) {
 		t.Error("got no refusal after two crashes, want one")
@@ -34,7 +34,7 @@
 func TestBrokenConnectionWithoutCrashIsAttributed(t *testing.T) {
 	tracker := crashtracker.New(time.Minute, 100)
 	for _, endpoint := range []string{"a", "b", "c"} {
-		tracker.RecordBrokenConnection(endpoint, innocent, 0)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: innocent}, 0)
 		tracker.RecordEndpointUp(endpoint, time.Millisecond, time.Second)
 		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, time.Second)
 	}
@@ -46,9 +46,9 @@
 // The two crashes of a request may be seen by different gateways. They must add up.
 func TestCrashSeenByPeerIsIgnored(t *testing.T) {
 	a, b := crashtracker.New(time.Minute, 100), crashtracker.New(time.Minute, 100)
-	a.RecordBrokenConnection("x", poison, 0)
+	a.RecordBrokenConnection("x", crashtracker.Run{Fingerprint: poison}, 0)
 	a.RecordEndpointDown("x", crashtracker.ConnectionRefused, 0)
-	b.RecordBrokenConnection("y", poison, 0)
+	b.RecordBrokenConnection("y", crashtracker.Run{Fingerprint: poison}, 0)
 	b.RecordEndpointDown("y", crashtracker.ConnectionRefused, 0)
 	b.Merge(a.CrashRecords(0), 0)
 	if !b.MustRefuse(poison, 0) {
@@ -80,8 +80,8 @@
 // An endpoint that crashed is ejected, so that no attempt may ever find it down. Its entry is gone seconds later.
 func TestCrashFoundSecondsLaterIsIgnored(t *testing.T) {
 	tracker := newTracker()
-	tracker.RecordBrokenConnection("a", poison, 0)
-	tracker.RecordBrokenConnection("b", poison, time.Second)
+	tracker.RecordBrokenConnection("a", crashtracker.Run{Fingerprint: poison}, 0)
+	tracker.RecordBrokenConnection("b", crashtracker.Run{Fingerprint: poison}, time.Second)
 	tracker.SetEndpoints(list("b", "c"), 20*time.Second, wall(20*time.Second))
 	if tracker.MustRefuse(poison, 20*time.Second) {
 		t.Error("got a refusal after one entry was gone, want none")
@@ -97,7 +97,7 @@
 // Peers of older builds send entries without the time of the start. That is no new start.
 func TestUnknownStartIsTakenForCrash(t *testing.T) {
 	tracker := newTracker()
-	tracker.RecordBrokenConnection("a", innocent, 0)
+	tracker.RecordBrokenConnection("a", crashtracker.Run{Fingerprint: innocent}, 0)
 	for _, startedAt := range []int64{0, 1} {
 		unknown := list("a", "b", "c")
 		unknown[0].StartedAtMs = startedAt
@@ -113,7 +113,7 @@
 	tracker := newTracker()
 	for i, endpoint := range []string{"a", "b"} {
 		brokenAt := time.Duration(i+1) * 10 * time.Second
-		tracker.RecordBrokenConnection(endpoint, poison, brokenAt)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: poison}, brokenAt)
 		tracker.RecordEndpointUp(endpoint, brokenAt-time.Millisecond, brokenAt+time.Millisecond)
 		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, brokenAt+5*time.Millisecond)
 	}
@@ -127,24 +127,24 @@
 	for name, leave := range map[string]func(tracker *crashtracker.CrashTracker, id string){
 		"announced": func(tracker *crashtracker.CrashTracker, id string) {
 			tracker.SetEndpoints([]crashtracker.Endpoint{{ID: id, StartedAtMs: 1, Leaving: true}}, time.Second, wall(time.Second))
-			tracker.RecordBrokenConnection(id, innocent, 2*time.Second)
+			tracker.RecordBrokenConnection(id, crashtracker.Run{Fingerprint: innocent}, 2*time.Second)
 			tracker.SetEndpoints(nil, 3*time.Second, wall(3*time.Second))
 		},
 		"entry removed first": func(tracker *crashtracker.CrashTracker, id string) {
 			tracker.SetEndpoints(list(id), 0, wall(0))
 			tracker.SetEndpoints(nil, time.Second, wall(time.Second))
-			tracker.RecordBrokenConnection(id, innocent, 3*time.Second)
+			tracker.RecordBrokenConnection(id, crashtracker.Run{Fingerprint: innocent}, 3*time.Second)
 			tracker.RecordEndpointDown(id, crashtracker.ConnectionRefused, 3*time.Second)
 		},
 		"running after the connection broke": func(tracker *crashtracker.CrashTracker, id string) {
 			tracker.SetEndpoints(list(id), 0, wall(0))
-			tracker.RecordBrokenConnection(id, innocent, time.Second)
+			tracker.RecordBrokenConnection(id, crashtracker.Run{Fingerprint: innocent}, time.Second)
 			tracker.RecordProcessRunning(id, 1100*time.Millisecond, 1200*time.Millisecond)
 			tracker.SetEndpoints(nil, 3*time.Second, wall(3*time.Second))
 		},
 		"answered after the connection broke": func(tracker *crashtracker.CrashTracker, id string) {
 			tracker.SetEndpoints(list(id), 0, wall(0))
-			tracker.RecordBrokenConnection(id, innocent, time.Second)
+			tracker.RecordBrokenConnection(id, crashtracker.Run{Fingerprint: innocent}, time.Second)
 			tracker.RecordEndpointUp(id, 1100*time.Millisecond, 1200*time.Millisecond)
 			tracker.SetEndpoints(nil, 3*time.Second, wall(3*time.Second))
 		},
@@ -164,10 +164,10 @@
 // All endpoints of a failure domain may crash at once, with several runs of a request that many callers send.
 func TestRequestThatIsServedElsewhereIsRefused(t *testing.T) {
 	tracker := newTracker()
-	tracker.RecordServed(innocent, 0)
+	tracker.RecordServed(crashtracker.Run{Fingerprint: innocent}, 0)
 	for _, endpoint := range []string{"a", "b", "c"} {
-		tracker.RecordBrokenConnection(endpoint, innocent, time.Second)
-		tracker.RecordBrokenConnection(endpoint, poison, time.Second)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: innocent}, time.Second)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: poison}, time.Second)
 		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, time.Second)
 	}
 	if tracker.MustRefuse(innocent, time.Second) {
@@ -176,7 +176,7 @@
 	if !tracker.MustRefuse(poison, time.Second) {
 		t.Error("got no refusal of a request that never completed, want one")
 	}
-	tracker.RecordServed(poison, 2*time.Second)
+	tracker.RecordServed(crashtracker.Run{Fingerprint: poison}, 2*time.Second)
 	if tracker.MustRefuse(poison, 2*time.Second) {
 		t.Error("got a refusal of a request whose further run completed, want none")
 	}
@@ -185,11 +185,11 @@
 // The log must say of each suspect what became of it.
 func TestDecisionIsNotLogged(t *testing.T) {
 	tracker := newTracker()
-	tracker.RecordBrokenConnection("a", poison, 0)
+	tracker.RecordBrokenConnection("a", crashtracker.Run{Fingerprint: poison}, 0)
 	tracker.RecordEndpointDown("a", crashtracker.ConnectionRefused, time.Second)
-	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
+	tracker.RecordBrokenConnection("b", crashtracker.Run{Fingerprint: poison}, 2*time.Second)
 	tracker.RecordEndpointUp("b", 3*time.Second, 4*time.Second)
-	tracker.RecordBrokenConnection("c", poison, 5*time.Second)
+	tracker.RecordBrokenConnection("c", crashtracker.Run{Fingerprint: poison}, 5*time.Second)
 	tracker.ExpireSuspects(2 * time.Minute)
 	got := tracker.TakeOutcomes()
 	want := []crashtracker.Outcome{
@@ -225,7 +225,7 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := crashtracker.New(time.Hour, 100)
 			tracker.SetEndpoints(list("a"), 0, wall(0))
-			tracker.RecordBrokenConnection("a", poison, time.Second)
+			tracker.RecordBrokenConnection("a", crashtracker.Run{Fingerprint: poison}, time.Second)
 			tracker.RecordEndpointUp("a", 1900*time.Millisecond, 2*time.Second)
 			listedAt := c.restartedAt + time.Second
 			restarted := list("a")
@@ -246,7 +246,7 @@
 		if v := tracker.Decide(poison, now); v.RetryAfter != 0 || v.Refused {
 			t.Errorf("got %+v with %d open suspicions, want none", v, i)
 		}
-		tracker.RecordBrokenConnection(endpoint, poison, now)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: poison}, now)
 	}
 	if v := tracker.Decide(poison, 2*time.Second); v.RetryAfter != 3*time.Second {
 		t.Errorf("got %+v with three open suspicions, want a wait of 3 s", v)
@@ -259,7 +259,7 @@
 		t.Errorf("got %+v after one endpoint was found running, want none", v)
 	}
 	tracker.RecordEndpointDown("a", crashtracker.ConnectionRefused, 2*time.Second)
-	tracker.RecordBrokenConnection("b", poison, 2*time.Second)
+	tracker.RecordBrokenConnection("b", crashtracker.Run{Fingerprint: poison}, 2*time.Second)
 	if v := tracker.Decide(poison, 2*time.Second); v.RetryAfter != 5*time.Second {
 		t.Errorf("got %+v with one crash and two open suspicions, want a wait of 5 s", v)
 	}
@@ -271,9 +271,9 @@
 	work := crashtracker.Work{Run: 10, Prefill: 11}
 	tracker := newTracker()
 	for _, endpoint := range []string{"a", "b"} {
-		tracker.RecordBrokenConnection(endpoint, work.Prefill, time.Second)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: work.Prefill}, time.Second)
 		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, time.Second)
-		tracker.RecordServed(work.Run, time.Second)
+		tracker.RecordServed(crashtracker.Run{Fingerprint: work.Run}, time.Second)
 	}
 	if v := tracker.DecidePrefill(work, 2*time.Second); !v.Refused {
 		t.Errorf("got %+v for a prefill that crashed two endpoints, want a refusal", v)
@@ -282,7 +282,7 @@
 		t.Errorf("got %+v for a run without prefill, want none", v)
 	}
 	const later = time.Minute
-	tracker.RecordBrokenConnection("c", work.Run, later)
+	tracker.RecordBrokenConnection("c", crashtracker.Run{Fingerprint: work.Run}, later)
 	tracker.RecordEndpointDown("c", crashtracker.ConnectionRefused, later)
 	if v := tracker.DecideRun(work, later); !v.Refused {
 		t.Errorf("got %+v for a run after three crashes, want a refusal", v)
--- a/internal/limits/crashtracker/outcome.go
+++ b/internal/limits/crashtracker/outcome.go
@@ -13,6 +13,8 @@
 const (
 	// Counted means that the crash counts against the request.
 	Counted Decision = "counted"
+	// PartsCounted means that the crash counts against the parts of the prompt, but not against the request, which was served.
+	PartsCounted Decision = "counted for parts"
 	// EndpointAnswered means that the endpoint answered afterwards, so that it has not crashed.
 	EndpointAnswered Decision = "endpoint answered"
 	// EndpointLeaving means that the endpoint was leaving, which ends connections without a crash.
--- a/internal/process/daemon/state.go
+++ b/internal/process/daemon/state.go
@@ -27,6 +27,8 @@
 	Endpoints         []lister.Endpoint `json:"endpoints"`
 	// Quarantined holds the fingerprints of the requests that are refused because they crash endpoints.
 	Quarantined []string `json:"quarantined"`
+	// BlamedParts holds the digests of the parts of prompts with which requests are refused because they crash endpoints.
+	BlamedParts []string `json:"blamed_parts"`
 	// PausedEndpoints and LeavingEndpoints count the endpoints that have asked for a pause that lasts, and those that have
 	// said themselves that they leave.
 	PausedEndpoints  int `json:"paused"`
@@ -45,6 +47,9 @@
 	for _, f := range d.controller.QuarantinedRequests() {
 		state.Quarantined = append(state.Quarantined, f.String())
 	}
+	for _, f := range d.controller.BlamedParts() {
+		state.BlamedParts = append(state.BlamedParts, f.String())
+	}
 	if m, age := d.tracker.Active(); m != nil {
 		state.ConfigVersion, state.ConfigAgeMS = m.Version(), age.Milliseconds()
 	}
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -11,7 +11,6 @@
 
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
-	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
 // maxLoggedParts limits the parts of a prompt in a log line.
@@ -78,18 +77,23 @@
 // suspect records that the connection to an endpoint broke while it ran a request. It returns false if that can't count
 // against the request.
 func (f *Forwarder) suspect(j *job, c contact) (recorded bool) {
-	fingerprint := j.fingerprint
-	if c.isPrefill {
-		fingerprint = j.prefillFingerprint
-	}
+	run := j.run(c)
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
-		recorded = t.RecordBrokenConnection(c.endpointID, fingerprint, now)
+		recorded = t.RecordBrokenConnection(c.endpointID, run, now)
 	})
-	f.log.Info().Str("id", j.ID).Str("endpoint", c.endpointID).Str("fingerprint", fingerprint.String()).
+	f.log.Info().Str("id", j.ID).Str("endpoint", c.endpointID).Str("fingerprint", run.Fingerprint.String()).
 		Bool("prefill", c.isPrefill).Strs("parts", loggedParts(j)).Msg("crash: suspected")
 	return recorded
 }
 
+// run returns the run or the prefill of a contact for the crash tracker.
+func (j *job) run(c contact) crashtracker.Run {
+	if c.isPrefill {
+		return crashtracker.Run{Fingerprint: j.work.Prefill, Parts: j.work.PrefillParts, StartedAt: c.attemptedAt}
+	}
+	return crashtracker.Run{Fingerprint: j.work.Run, Parts: j.work.Parts, StartedAt: c.attemptedAt}
+}
+
 // loggedParts returns the IDs of the parts of the prompt that other requests may share, at most maxLoggedParts.
 func loggedParts(j *job) []string {
 	shared := j.PromptParts[:max(0, len(j.PromptParts)-1)]
@@ -165,12 +169,13 @@
 	if j.contact.ending > endedUnmarked || r.Status >= http.StatusMultipleChoices {
 		return
 	}
-	f.recordServed(j.fingerprint)
+	f.recordServed(j, j.contact)
 }
 
-// recordServed tells the crash tracker that work with a fingerprint completed.
-func (f *Forwarder) recordServed(fp quarantiner.Fingerprint) {
-	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) { t.RecordServed(fp, now) })
+// recordServed tells the crash tracker that the run or the prefill of a contact completed.
+func (f *Forwarder) recordServed(j *job, c contact) {
+	run := j.run(c)
+	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) { t.RecordServed(run, now) })
 }
 
 // checkSend must be called right before a request is sent to an endpoint, whose ID is empty if it is not chosen yet. It
@@ -189,14 +194,15 @@
 // checkWork is checkSend for a run or a prefill.
 func (f *Forwarder) checkWork(ctx context.Context, j *job, endpointID string, prefill bool) outcome {
 	for {
-		v, wanted := f.controller.DecideSend(j.work(), prefill, endpointID, j.receivedAt)
-		j.quarantineTime = v.RetryAfter
+		v, wanted := f.controller.DecideSend(j.work, prefill, endpointID, j.receivedAt)
+		accepted := j.accept(v)
 		switch {
-		case v.Refused:
+		case !accepted:
 			return outcomeQuarantined
 		case v.RetryAfter == 0 && !wanted:
 			return outcomeSuspended
 		case v.RetryAfter == 0:
+			j.work.Trial = j.work.Trial || (v.Trial && !prefill)
 			return outcomeAnswered
 		case v.RetryAfter > f.timeLeft(j):
 			return outcomeQuarantined
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/responder"
 	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
@@ -129,10 +130,11 @@
 	maybeExecuted bool
 	// heldFailure is an endpoint's server error that is held back while the request is retried, or nil.
 	heldFailure *bufferedResponse
-	// fingerprint identifies the request for the crash tracker. It is the same when the caller sends the request again.
-	fingerprint quarantiner.Fingerprint
-	// prefillFingerprint identifies the prefill of a generation for the crash tracker. It is zero for calls.
-	prefillFingerprint quarantiner.Fingerprint
+	// work identifies the request, its prefill and what it shares with other requests for the crash tracker. It is the same when
+	// the caller sends the request again.
+	work crashtracker.Work
+	// blamedPart is the part of the prompt because of which the request is refused. It is zero if there is none.
+	blamedPart attributor.Feature
 	// quarantineTime is how long the request must not be sent because of crashes.
 	quarantineTime time.Duration
 	// contact is what the latest attempt has shown about its endpoint.
@@ -218,17 +220,28 @@
 	if f.outlivesProcess(j) {
 		return f.refuse(j, http.StatusServiceUnavailable, retryAfterStopping, "process is stopping")
 	}
-	j.fingerprint = fingerprint(j)
-	if j.engine != nil {
-		j.prefillFingerprint = fingerprintOfPrefill(j.fingerprint)
-	}
-	if v := f.controller.DecideQuarantine(j.work()); v.Refused {
-		j.quarantineTime = v.RetryAfter
+	j.work = workOf(j)
+	if v := f.controller.DecideQuarantine(j.work); !j.accept(v) {
 		return f.refuseQuarantined(j)
 	}
 	return true
 }
 
+// workOf returns what endpoints do for a request.
+func workOf(j *job) crashtracker.Work {
+	w := crashtracker.Work{Run: fingerprint(j)}
+	if j.engine != nil {
+		w.Prefill = fingerprintOfPrefill(w.Run)
+	}
+	return w.WithParts(j.PromptParts, j.engine != nil)
+}
+
+// accept applies a verdict to the request. It returns false if the request is refused.
+func (j *job) accept(v crashtracker.Verdict) bool {
+	j.quarantineTime, j.blamedPart = v.RetryAfter, v.Part
+	return !v.Refused
+}
+
 // fingerprint hashes the account, the target and the body of a request.
 func fingerprint(j *job) quarantiner.Fingerprint {
 	d := xxhash.New()
@@ -246,11 +259,6 @@
 	return quarantiner.Fingerprint(xxhash.Sum64String("prefill " + f.String()))
 }
 
-// work returns what endpoints do for the request.
-func (j *job) work() crashtracker.Work {
-	return crashtracker.Work{Run: j.fingerprint, Prefill: j.prefillFingerprint}
-}
-
 // outlivesProcess reports whether the process will probably end before the request does.
 func (f *Forwarder) outlivesProcess(j *job) bool {
 	stopAt := time.Duration(f.stopAtNanos.Load())
--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -65,11 +65,12 @@
 			}
 			return nil
 		})
-		f.reportContact(g.job, contact{
+		c := contact{
 			endpointID: e.ID, attemptedAt: startedAt, isPrefill: true, err: err, response: response, executed: kvSource != "",
-		})
+		}
+		f.reportContact(g.job, c)
 		if kvSource != "" {
-			f.recordServed(g.prefillFingerprint)
+			f.recordServed(g.job, c)
 			g.kvSource, g.kvHolder, g.kvExpiresAt = kvSource, e, f.clock()+g.engine.HandleTTL-kvTransferMargin
 			g.record.prefillTime = f.clock() - g.receivedAt
 			f.Stats.Prefills.Add(1)
--- a/internal/proxy/forwarder/record.go
+++ b/internal/proxy/forwarder/record.go
@@ -118,7 +118,10 @@
 // addRefusal adds to a log line why a request was refused, if it was.
 func addRefusal(e *log.Entry, j *job) *log.Entry {
 	if j.record.reason == reasonCrashes {
-		e = e.Str("fingerprint", j.fingerprint.String())
+		e = e.Str("fingerprint", j.work.Run.String())
+		if j.blamedPart != 0 {
+			e = e.Str("feature", j.blamedPart.String())
+		}
 	}
 	if j.record.requestedTokens > 0 {
 		e = e.Int("asked", j.record.requestedTokens)
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
@@ -19,6 +21,10 @@
 	// missed a change learn of it. Messages for a gateway that has just started contain crashRecordsForNewPeer.
 	messagesPerCrashRecord = 4
 	crashRecordsForNewPeer = 8
+	// maxPartChangesPerMessage is how many of maxCrashChangesPerMessage may be about the parts of prompts.
+	maxPartChangesPerMessage = 5
+	// bytesPerPart is the length of a part in a message.
+	bytesPerPart = 8
 )
 
 // UpdateCrashTracker calls a function on the crash tracker under the lock.
@@ -58,7 +64,7 @@
 }
 
 // DecideQuarantine returns whether a request may be sent to an endpoint, or must not be because it crashes endpoints.
-func (c *Controller) DecideQuarantine(w crashtracker.Work) quarantiner.Verdict {
+func (c *Controller) DecideQuarantine(w crashtracker.Work) crashtracker.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.crashTracker.DecideRun(w, c.clock())
@@ -71,13 +77,28 @@
 	return c.crashTracker.RefusedRequests(c.clock())
 }
 
-// logCrashOutcomes logs each decision whether a crash counts against a request. The lock must be held.
+// BlamedParts returns the parts of prompts with which requests are refused because they crash endpoints.
+func (c *Controller) BlamedParts() []attributor.Feature {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashTracker.BlamedParts(c.clock())
+}
+
+// logCrashOutcomes logs each decision whether a crash counts against a request or a part of prompts. The lock must be held.
 func (c *Controller) logCrashOutcomes() {
 	for _, o := range c.crashTracker.TakeOutcomes() {
 		c.log.Info().Str("endpoint", o.Endpoint).Str("fingerprint", o.Fingerprint.String()).
 			Str("outcome", string(o.Decision)).Str("evidence", string(o.Evidence)).Int64("age_ms", o.Age.Milliseconds()).
 			Bool("refused", o.Refused).Msg("crash: decided")
 	}
+	for _, p := range c.crashTracker.TakePartChanges(c.clock()) {
+		if !p.Blamed {
+			c.log.Info().Str("feature", p.Feature.String()).Msg("crash: part acquitted")
+			continue
+		}
+		c.log.Info().Str("feature", p.Feature.String()).Int("crashes", p.Crashes).Float64("share", p.Share).
+			Msg("crash: part blamed")
+	}
 }
 
 // setCrashTrackerEndpoints passes the endpoint list to the crash tracker. The lock must be held.
@@ -90,25 +111,31 @@
 	c.logCrashOutcomes()
 }
 
-// nextCrashRecords returns the crash records for the next message. It is called regularly, so it also drops old suspects.
-// The lock must be held.
-func (c *Controller) nextCrashRecords(hasNewPeer bool, now time.Duration) []broadcaster.CrashRecord {
+// composeCrashes adds the crash records for the next message. It is called regularly, so it also drops old suspects. The lock
+// must be held.
+func (c *Controller) composeCrashes(m *broadcaster.Message, hasNewPeer bool, now time.Duration) {
 	c.crashTracker.ExpireSuspects(now)
 	c.logCrashOutcomes()
-	others := 0
+	others, forNewPeer := 0, 0
 	if c.composedMessages%messagesPerCrashRecord == 0 {
 		others = 1
 	}
+	parts := c.crashTracker.NextPartReports(maxPartChangesPerMessage, others, 0, now)
 	if hasNewPeer {
-		others = crashRecordsForNewPeer
+		others, forNewPeer = crashRecordsForNewPeer, crashRecordsForNewPeer
+		parts.Runs = append(parts.Runs, c.crashTracker.NextPartReports(0, 0, forNewPeer, now).Runs...)
 	}
-	return encodeCrashRecords(c.crashTracker.NextCrashRecords(maxCrashChangesPerMessage, others, now))
+	m.BrokenRuns, m.AcquittedParts = encodePartReports(parts)
+	changes := maxCrashChangesPerMessage - min(maxPartChangesPerMessage, len(parts.Runs)+len(parts.Acquittals))
+	m.CrashRecords = encodeCrashRecords(c.crashTracker.NextCrashRecords(changes, others, now))
 }
 
 // receiveCrashRecords adds the crash records of a message. Reports of one crash are recognised by its time, so those of a
 // message that took an unknown time are left out: the sender repeats them. Older builds never say when they sent a
-// message; their messages count as fast. The lock must be held.
+// message; their messages count as fast. Broken runs are recognised by their IDs, so they count in any case. The lock must be
+// held.
 func (c *Controller) receiveCrashRecords(m broadcaster.Message, now time.Duration) {
+	c.crashTracker.MergeParts(decodePartReports(m), now)
 	switch {
 	case m.TransitKnown:
 		c.crashTracker.Merge(decodeCrashRecords(m.CrashRecords, m.TransitTime), now)
@@ -117,6 +144,46 @@
 	}
 }
 
+// encodePartReports converts reports about the parts of prompts for a message.
+func encodePartReports(r attributor.Reports) (runs []broadcaster.BrokenRun, acquitted []broadcaster.AcquittedPart) {
+	for _, b := range r.Runs {
+		w := broadcaster.BrokenRun{
+			ID: b.ID, Endpoint: b.Endpoint, AgeMs: b.Age.Milliseconds(), DurationMs: b.Duration.Milliseconds(),
+		}
+		for _, f := range b.Features {
+			w.Parts = binary.LittleEndian.AppendUint64(w.Parts, uint64(f))
+		}
+		runs = append(runs, w)
+	}
+	for _, a := range r.Acquittals {
+		acquitted = append(acquitted, broadcaster.AcquittedPart{Part: uint64(a.Feature), AgeMs: a.Age.Milliseconds()})
+	}
+	return runs, acquitted
+}
+
+// decodePartReports returns the reports about the parts of prompts in a message. Ages are counted from now. An acquittal of a
+// message that took an unknown time is left out: it would seem to be from a later time than it is.
+func decodePartReports(m broadcaster.Message) attributor.Reports {
+	var out attributor.Reports
+	for _, w := range m.BrokenRuns {
+		r := attributor.Run{
+			ID: w.ID, Endpoint: w.Endpoint, Age: time.Duration(w.AgeMs)*time.Millisecond + m.TransitTime,
+			Duration: time.Duration(w.DurationMs) * time.Millisecond,
+		}
+		for i := 0; i+bytesPerPart <= len(w.Parts); i += bytesPerPart {
+			r.Features = append(r.Features, attributor.Feature(binary.LittleEndian.Uint64(w.Parts[i:])))
+		}
+		out.Runs = append(out.Runs, r)
+	}
+	for _, w := range m.AcquittedParts {
+		age := time.Duration(w.AgeMs)*time.Millisecond + m.TransitTime
+		if m.TransitKnown {
+			out.Acquittals = append(out.Acquittals, attributor.Acquittal{Feature: attributor.Feature(w.Part), Age: age})
+		}
+	}
+	return out
+}
+
 // encodeCrashRecords converts crash records for a message. Ages become ms. The list of all crashes is left out if it would
 // add nothing to the endpoint and the age.
 func encodeCrashRecords(records []quarantiner.CrashRecord) []broadcaster.CrashRecord {
--- a/internal/routing/controller/crashes_test.go
+++ b/internal/routing/controller/crashes_test.go
@@ -21,7 +21,7 @@
 			from.now, to.now = time.Minute, 3*time.Minute
 			for _, endpoint := range []string{"e1", "e2"} {
 				from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) {
-					tracker.RecordBrokenConnection(endpoint, 77, now)
+					tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: 77}, now)
 					tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, now)
 				})
 			}
@@ -34,7 +34,9 @@
 			if v := to.DecideQuarantine(crashtracker.Work{Run: 77}); !v.Refused {
 				t.Errorf("got %+v at the other gateway, want a refusal", v)
 			}
-			from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) { tracker.RecordServed(77, now) })
+			from.UpdateCrashTracker(func(tracker *crashtracker.CrashTracker, now time.Duration) {
+				tracker.RecordServed(crashtracker.Run{Fingerprint: 77}, now)
+			})
 			if m, _ = from.Compose(false); len(m.CrashRecords) != 1 {
 				t.Fatalf("got %d records after the request completed, want one", len(m.CrashRecords))
 			}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -26,7 +26,7 @@
 		}
 		m.EndpointRequests[id] = [2]int64{int64(report.Requests), report.Age.Milliseconds()}
 	}
-	m.CrashRecords = c.nextCrashRecords(includeAvailableTokens, now)
+	c.composeCrashes(&m, includeAvailableTokens, now)
 	maxAge := totalsReportTime
 	if c.composedMessages%messagesPerFullTotals == 0 {
 		maxAge, m.AllAccounts = now, true
--- a/internal/routing/controller/suspensions.go
+++ b/internal/routing/controller/suspensions.go
@@ -6,7 +6,6 @@
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
-	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
 // LeavingRetryAfter is when callers are asked to come back if all endpoints of a service leave. It is not known when others
@@ -47,18 +46,23 @@
 }
 
 // DecideSend returns whether a request that was received at the given time may be sent to an endpoint now, as a prefill or
-// to be run: whether that crashes endpoints, and whether the endpoint wants it.
+// to be run: whether that crashes endpoints, and whether the endpoint wants it. If it may only be run as a trial of a part of its
+// prompt, the trial begins.
 func (c *Controller) DecideSend(
 	w crashtracker.Work, prefill bool, endpointID string, receivedAt time.Duration,
-) (v quarantiner.Verdict, wanted bool) {
+) (v crashtracker.Verdict, wanted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	decide := c.crashTracker.DecideRun
+	wanted = c.suspender.MaySend(endpointID, receivedAt, now)
 	if prefill {
-		decide = c.crashTracker.DecidePrefill
+		return c.crashTracker.DecidePrefill(w, now), wanted
 	}
-	return decide(w, now), c.suspender.MaySend(endpointID, receivedAt, now)
+	v = c.crashTracker.DecideRun(w, now)
+	if v.Trial && wanted && v.RetryAfter == 0 {
+		c.crashTracker.BeginTrial(w, now)
+	}
+	return v, wanted
 }
 
 // Pause is why a service can't be used now: all of its endpoints are paused or leave.
--- /dev/null
+++ b/pkg/attributor/attributor_test.go
@@ -0,0 +1,289 @@
+package attributor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
+)
+
+// guilty is the feature that crashes endpoints; common is one that other requests have too.
+const (
+	guilty attributor.Feature = iota + 1
+	common
+	paired
+)
+
+const (
+	retention = 24 * time.Hour
+	maxRuns   = 512
+)
+
+// lastRunID makes the IDs of broken runs different.
+var lastRunID uint64
+
+// crashAt records that a run with the features, which began 100 ms before, crashed an endpoint of its own.
+func crashAt(a *attributor.Attributor, at time.Duration, features ...attributor.Feature) {
+	lastRunID++
+	a.RecordCrash(lastRunID, fmt.Sprint("e", lastRunID), features, at-100*time.Millisecond, at, at)
+}
+
+// newBlaming returns an Attributor that blames the features after a crash in each of the first eight seconds.
+func newBlaming(features ...attributor.Feature) *attributor.Attributor {
+	a := attributor.New(retention, maxRuns)
+	for i := range 8 {
+		crashAt(a, time.Duration(i+1)*time.Second, features...)
+	}
+	return a
+}
+
+// isRefused reports whether a request with the features is refused.
+func isRefused(a *attributor.Attributor, now time.Duration, features ...attributor.Feature) bool {
+	return a.Decide(features, now).Refused
+}
+
+// A request that has run completes and acquits what it shares with the crashing ones, at all processes, whatever they learn
+// first.
+func TestAcquittalThatComesBeforeCrashIsForgotten(t *testing.T) {
+	a, b := attributor.New(retention, maxRuns), attributor.New(retention, maxRuns)
+	for i := range 8 {
+		crashAt(a, time.Duration(i+1)*time.Second, common)
+	}
+	runs := a.NextReports(100, 100, 8*time.Second)
+	a.RecordServed([]attributor.Feature{common}, 9*time.Second, 10*time.Second)
+	acquittals := a.NextReports(100, 0, 10*time.Second)
+	if len(acquittals.Acquittals) != 1 {
+		t.Fatalf("got %+v, want one acquittal", acquittals)
+	}
+	b.Merge(attributor.Reports{Acquittals: acquittals.Acquittals}, 10*time.Second)
+	for i := range runs.Runs {
+		runs.Runs[i].Age += 2 * time.Second
+	}
+	b.Merge(runs, 10*time.Second)
+	for name, x := range map[string]*attributor.Attributor{"own": a, "peer": b} {
+		if isRefused(x, 10*time.Second, common) {
+			t.Errorf("%s: got a refusal of a feature that completed, want none", name)
+		}
+	}
+}
+
+// A run that began before a crash says nothing about it: the part may do harm only since then.
+func TestRunFromBeforeCrashAcquits(t *testing.T) {
+	a := newBlaming(guilty)
+	a.RecordServed([]attributor.Feature{guilty}, 500*time.Millisecond, 9*time.Second)
+	if !isRefused(a, 9*time.Second, guilty) {
+		t.Error("got no refusal after the end of a run from before the crashes, want one")
+	}
+	a.RecordServed([]attributor.Feature{guilty}, 8500*time.Millisecond, 9*time.Second)
+	if isRefused(a, 9*time.Second, guilty) {
+		t.Error("got a refusal after a later run completed, want none")
+	}
+}
+
+// Endpoints of a failure domain crash together. That must count once.
+func TestCrashesAtTheSameTimeAddUp(t *testing.T) {
+	a := attributor.New(retention, maxRuns)
+	for i := range 20 {
+		lastRunID++
+		a.RecordCrash(lastRunID, fmt.Sprint("e", i), []attributor.Feature{guilty}, 0, time.Second, time.Second)
+	}
+	if isRefused(a, time.Second, guilty) {
+		t.Error("got a refusal after crashes at the same time, want none")
+	}
+}
+
+// Two parts that come together explain the same crashes. A request with one of them is tried soon, which tells them apart.
+func TestFeaturesThatTieAreNotToldApart(t *testing.T) {
+	a := newBlaming(guilty, paired)
+	now := 8 * time.Second
+	if !isRefused(a, now, guilty, paired) || !isRefused(a, now, guilty) || !isRefused(a, now, paired) {
+		t.Fatal("got no refusal, want one of all that have either feature")
+	}
+	now += 1500 * time.Millisecond
+	if !isRefused(a, now, guilty, paired) {
+		t.Error("got a trial of a request with both features, want a refusal")
+	}
+	if v := a.Decide([]attributor.Feature{paired}, now); !v.Trial {
+		t.Fatalf("got %+v for a request with one of them, want a trial", v)
+	}
+	a.BeginTrial([]attributor.Feature{paired}, now)
+	if !isRefused(a, now, paired) {
+		t.Error("got a second trial beside the first one, want a refusal")
+	}
+	a.RecordServed([]attributor.Feature{paired}, now, now+time.Second)
+	if isRefused(a, now+time.Second, paired) || !isRefused(a, now+time.Second, guilty) {
+		t.Error("the trial completed, so its feature must be served and the other one still be refused")
+	}
+}
+
+// A part that stopped crashing endpoints must be served again, and one that has not must be tried ever less often.
+func TestBlamedFeatureIsNeverTriedAgain(t *testing.T) {
+	a := newBlaming(guilty)
+	var trials []time.Duration
+	for now := 9 * time.Second; now < 12*time.Hour; now += 10 * time.Second {
+		if v := a.Decide([]attributor.Feature{guilty}, now); v.Trial {
+			a.BeginTrial([]attributor.Feature{guilty}, now)
+			trials = append(trials, now)
+			crashAt(a, now+100*time.Millisecond, guilty)
+		} else if v.RetryAfter <= 0 || v.RetryAfter > 12*time.Hour {
+			t.Fatalf("at %v: got a refusal for %v, want a time until the next trial", now, v.RetryAfter)
+		}
+	}
+	if len(trials) == 0 || len(trials) > 6 {
+		t.Errorf("got trials at %v, want 1 to 6 in 12 h", trials)
+	}
+	now := 14 * time.Hour
+	for a.Decide([]attributor.Feature{guilty}, now).Refused {
+		now += time.Minute
+	}
+	a.RecordServed([]attributor.Feature{guilty}, now, now+time.Second)
+	if isRefused(a, now+time.Second, guilty) {
+		t.Error("got a refusal after a trial that completed, want none")
+	}
+}
+
+// Only the process that saw the latest crash tries a blamed feature soon.
+func TestAllProcessesTryBlamedFeatureAtOnce(t *testing.T) {
+	a, early := newBlaming(guilty), 0
+	reports := a.NextReports(100, 100, 8*time.Second)
+	for range 100 {
+		b := attributor.New(retention, maxRuns)
+		b.Merge(reports, 8*time.Second)
+		if b.Decide([]attributor.Feature{guilty}, 100*time.Second).Trial {
+			early++
+		}
+	}
+	if v := a.Decide([]attributor.Feature{guilty}, 100*time.Second); !v.Trial || early > 0 {
+		t.Errorf("got trial %v at the process of the crash and %d at 100 others, want one and none", v.Trial, early)
+	}
+}
+
+// A process that has just started must refuse what its peers refuse.
+func TestStartedProcessForgetsBlamedFeature(t *testing.T) {
+	a := newBlaming(guilty, common)
+	a.RecordServed([]attributor.Feature{common}, 9*time.Second, 10*time.Second)
+	if !isRefused(a, 10*time.Second, guilty) {
+		t.Fatal("got no refusal at the process that saw the crashes, want one")
+	}
+	b := attributor.New(retention, maxRuns)
+	b.Merge(a.BlamedReports(8, 10*time.Second), 10*time.Second)
+	if !isRefused(b, 10*time.Second, guilty) || isRefused(b, 10*time.Second, common) {
+		t.Error("the started process must refuse the blamed feature and no other")
+	}
+}
+
+// Callers may name any number of parts. A flood of invented ones must push out neither a blamed part nor one under
+// suspicion, and memory must stay bounded.
+func TestInventedFeaturesPushOutOthers(t *testing.T) {
+	a := newBlaming(guilty)
+	invented := attributor.Feature(1000)
+	flood := func() []attributor.Feature {
+		var out []attributor.Feature
+		for range 100 {
+			invented++
+			out = append(out, invented)
+		}
+		return out
+	}
+	for i := range 2 * maxRuns {
+		crashAt(a, time.Minute+time.Duration(i)*10*time.Millisecond, flood()...)
+	}
+	now := 2 * time.Minute
+	if !isRefused(a, now, append(flood(), guilty)...) {
+		t.Error("got no refusal of a part among invented ones, want one")
+	}
+	reports := a.NextReports(10*maxRuns, 10*maxRuns, now)
+	if len(reports.Runs) > maxRuns {
+		t.Errorf("got %d runs, want at most %d", len(reports.Runs), maxRuns)
+	}
+	for _, r := range reports.Runs {
+		if len(r.Features) > attributor.MaxFeaturesPerRun {
+			t.Fatalf("got a run with %d features, want at most %d", len(r.Features), attributor.MaxFeaturesPerRun)
+		}
+	}
+	for i := range 8 {
+		crashAt(a, now+time.Duration(i)*time.Second, append(append(flood(), paired), flood()...)...)
+		a.RecordServed([]attributor.Feature{common}, now, now)
+		if i == 0 {
+			crashAt(a, now, paired)
+		}
+	}
+	if !isRefused(a, now+8*time.Second, paired) {
+		t.Error("got no refusal of a part that was known before it hid among invented ones, want one")
+	}
+}
+
+// The reports of processes may come in any order, more than once, and each may be told by another process.
+func TestProcessesDecideDifferently(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)) //nolint:gosec // a seeded test
+		var reports []attributor.Reports
+		now := time.Minute
+		for i := range rapid.IntRange(1, 40).Draw(t, "reports") {
+			at := time.Duration(rng.IntN(50)) * time.Second
+			if rng.IntN(4) == 0 {
+				f := attributor.Feature(rng.IntN(4) + 1) //nolint:gosec // not negative
+				reports = append(reports, attributor.Reports{Acquittals: []attributor.Acquittal{{Feature: f, Age: now - at}}})
+				continue
+			}
+			reports = append(reports, attributor.Reports{Runs: []attributor.Run{{
+				ID: uint64(i), Endpoint: fmt.Sprint(rng.IntN(6)), Age: now - at, //nolint:gosec // not negative
+				Duration: time.Duration(rng.IntN(2000)) * time.Millisecond,
+				Features: []attributor.Feature{attributor.Feature(rng.IntN(2) + 1), attributor.Feature(rng.IntN(2) + 3)}, //nolint:gosec // not negative
+			}}})
+		}
+		merge := func() []attributor.Feature {
+			a := attributor.New(retention, maxRuns)
+			for _, i := range append(rng.Perm(len(reports)), rng.Perm(len(reports))...) {
+				a.Merge(reports[i], now)
+			}
+			return a.Blamed(now)
+		}
+		want := merge()
+		for range 5 {
+			if diff := cmp.Diff(want, merge()); diff != "" {
+				t.Fatalf("blamed features depend on the order (-first +other):\n%s", diff)
+			}
+		}
+	})
+}
+
+func ExampleAttributor() {
+	a := attributor.New(time.Hour, 512)
+	part := attributor.NewFeature("part", "5c1e07a2")
+	for i := range 8 {
+		at := time.Duration(i) * time.Second
+		other := attributor.NewFeature("part", fmt.Sprint("of request ", i))
+		a.RecordCrash(uint64(i), fmt.Sprint("endpoint ", i), []attributor.Feature{part, other}, at, at+time.Millisecond, at) //nolint:gosec // not negative
+	}
+	fmt.Println(a.Decide([]attributor.Feature{part}, 10*time.Second).Refused)
+	fmt.Println(a.Decide([]attributor.Feature{attributor.NewFeature("part", "of request 1")}, 10*time.Second).Refused)
+	// Output:
+	// true
+	// false
+}
+
+func BenchmarkDecide(b *testing.B) {
+	a := newBlaming(guilty)
+	features := []attributor.Feature{common, paired, guilty}
+	for b.Loop() {
+		a.Decide(features, 10*time.Second)
+	}
+}
+
+func BenchmarkEvaluate(b *testing.B) {
+	a := attributor.New(retention, maxRuns)
+	for i := range maxRuns {
+		crashAt(a, time.Duration(i)*10*time.Millisecond, common, attributor.Feature(i%50+10), attributor.Feature(i+100)) //nolint:gosec // not negative
+	}
+	for i := 0; b.Loop(); i++ {
+		now := time.Minute + time.Duration(i)*time.Millisecond
+		crashAt(a, now, common)
+		a.Decide([]attributor.Feature{common}, now)
+	}
+}
--- /dev/null
+++ b/pkg/attributor/report.go
@@ -0,0 +1,167 @@
+package attributor
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Run is a run that broke when its endpoint crashed. Processes send it to their peers.
+type Run struct {
+	// ID tells it from all other runs.
+	ID       uint64
+	Endpoint string
+	// Age is the time since the crash, and Duration the time from the start of the run to the crash.
+	Age, Duration time.Duration
+	Features      []Feature
+}
+
+// Acquittal says that a run with a feature completed. Processes send it to their peers.
+type Acquittal struct {
+	Feature Feature
+	// Age is the time since the latest of these runs began.
+	Age time.Duration
+}
+
+// Reports is what a process tells its peers.
+type Reports struct {
+	Runs       []Run
+	Acquittals []Acquittal
+}
+
+// Merge adds what a peer sent.
+func (a *Attributor) Merge(reports Reports, now time.Duration) {
+	for _, r := range reports.Runs {
+		if len(r.Features) == 0 || r.Age > a.retention {
+			continue
+		}
+		at := now - r.Age
+		a.add(&run{
+			id: r.ID, endpoint: r.Endpoint, crashedAt: at, startedAt: at - r.Duration,
+			features: r.Features[:min(len(r.Features), MaxFeaturesPerRun)],
+		}, now)
+	}
+	for _, c := range reports.Acquittals {
+		a.history.addStart(c.Feature, now-c.Age, now)
+		if s := a.features[c.Feature]; s != nil && (!s.served || now-c.Age > s.servedStartedAt) {
+			s.served, s.servedStartedAt = true, now-c.Age
+			a.outdated = true
+		}
+	}
+}
+
+// NextReports returns the reports for the next message to the peers: at most maxChanges that this process has changed and not
+// sent sendsPerChange times since, and at most maxOthers further runs that count, each in turn.
+func (a *Attributor) NextReports(maxChanges, maxOthers int, now time.Duration) Reports {
+	out := Reports{Runs: a.nextRuns(maxChanges, now)}
+	out.Acquittals = a.nextAcquittals(maxChanges-len(out.Runs), now)
+	ids := slices.Sorted(maps.Keys(a.runs))
+	first, _ := slices.BinarySearch(ids, a.lastOther+1)
+	for i := 0; i < len(ids) && maxOthers > 0; i++ {
+		r := a.runs[ids[(first+i)%len(ids)]]
+		if r.unsent > 0 || !a.counts(r) {
+			continue
+		}
+		out.Runs = append(out.Runs, r.export(now))
+		a.lastOther = r.id
+		maxOthers--
+	}
+	return out
+}
+
+// BlamedReports returns the runs for a process that has just started: at most maxRuns of those with a blamed feature, the latest
+// ones first, without their other features.
+func (a *Attributor) BlamedReports(maxRuns int, now time.Duration) Reports {
+	a.evaluate(now)
+	var latest []*run
+	for _, r := range a.runs {
+		if slices.ContainsFunc(r.features, a.isBlamed) {
+			latest = append(latest, r)
+		}
+	}
+	slices.SortFunc(latest, func(x, y *run) int { return cmp.Compare(y.crashedAt, x.crashedAt) })
+	var out Reports
+	for _, r := range latest[:min(len(latest), maxRuns)] {
+		exported := r.export(now)
+		exported.Features = slices.DeleteFunc(slices.Clone(r.features), func(f Feature) bool { return !a.isBlamed(f) })
+		out.Runs = append(out.Runs, exported)
+	}
+	return out
+}
+
+// isBlamed reports whether a feature was blamed at the last evaluation.
+func (a *Attributor) isBlamed(f Feature) bool {
+	return a.features[f] != nil && a.features[f].blamed
+}
+
+// counts reports whether a run counts against any of its features.
+func (a *Attributor) counts(r *run) bool {
+	return slices.ContainsFunc(r.features, func(f Feature) bool { return a.features[f].countsAt(r.crashedAt) })
+}
+
+// export returns the run for peers.
+func (r *run) export(now time.Duration) Run {
+	return Run{
+		ID: r.id, Endpoint: r.endpoint, Age: max(0, now-r.crashedAt), Duration: max(0, r.crashedAt-r.startedAt),
+		Features: r.features,
+	}
+}
+
+// announceRun makes NextReports return a run because it is new.
+func (a *Attributor) announceRun(r *run) {
+	r.unsent = sendsPerChange
+	a.changedRuns = append(a.changedRuns, r.id)
+}
+
+// announceFeature makes NextReports return the acquittal of a feature.
+func (a *Attributor) announceFeature(f Feature, s *state) {
+	if s.unsent == 0 {
+		a.changedFeatures = append(a.changedFeatures, f)
+	}
+	s.unsent = sendsPerChange
+}
+
+// nextRuns returns at most limit runs that are to be sent because they are new.
+func (a *Attributor) nextRuns(limit int, now time.Duration) []Run {
+	var out []Run
+	pending := a.changedRuns
+	a.changedRuns = nil
+	for i, id := range pending {
+		if len(out) == limit {
+			a.changedRuns = append(slices.Clone(pending[i:]), a.changedRuns...)
+			break
+		}
+		r := a.runs[id]
+		if r == nil || r.unsent == 0 {
+			continue
+		}
+		out = append(out, r.export(now))
+		if r.unsent--; r.unsent > 0 {
+			a.changedRuns = append(a.changedRuns, id)
+		}
+	}
+	return out
+}
+
+// nextAcquittals returns at most limit acquittals that are to be sent because they are new.
+func (a *Attributor) nextAcquittals(limit int, now time.Duration) []Acquittal {
+	var out []Acquittal
+	pending := a.changedFeatures
+	a.changedFeatures = nil
+	for i, f := range pending {
+		if len(out) >= limit {
+			a.changedFeatures = append(slices.Clone(pending[i:]), a.changedFeatures...)
+			break
+		}
+		s := a.features[f]
+		if s == nil || s.unsent == 0 {
+			continue
+		}
+		out = append(out, Acquittal{Feature: f, Age: max(0, now-s.servedStartedAt)})
+		if s.unsent--; s.unsent > 0 {
+			a.changedFeatures = append(a.changedFeatures, f)
+		}
+	}
+	return out
+}
