A stopping gateway accepts what its like have shown to end in time

A request of which too little is known counts with all the time that it has. It is refused at once, with Retry-After, while other gateways can serve it.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/responder"
 	"github.com/pistachiovane/pistachiovane/internal/routing/controller"
+	"github.com/pistachiovane/pistachiovane/internal/routing/estimator"
 	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
@@ -51,10 +52,6 @@
 	// retryAfterStopping is sent as Retry-After by a stopping process. It is short, because other gateways have
 	// capacity.
 	retryAfterStopping = 100 * time.Millisecond
-	// Nearly all calls of plain services take less than typicalCallDuration, nearly all generations less than
-	// typicalStreamDuration.
-	typicalCallDuration   = 1500 * time.Millisecond
-	typicalStreamDuration = 4600 * time.Millisecond
 	// responseMargin is subtracted from the caller's time budget, so that the response arrives in time.
 	responseMargin = 20 * time.Millisecond
 )
@@ -83,6 +80,7 @@
 	controller     *controller.Controller
 	endpointClient EndpointClient
 	prober         *prober.Prober
+	estimator      *estimator.Estimator
 	log            *log.Logger
 	// splitSeed seeds the hash of the request ID that picks one of the services of a route.
 	splitSeed maphash.Seed
@@ -102,7 +100,7 @@
 	e.Observe(ctrl.RecordSignal)
 	return &Forwarder{
 		options: o, clock: c, tracker: t, controller: ctrl, endpointClient: e,
-		prober: prober.New(e.Identify), log: l, splitSeed: maphash.MakeSeed(),
+		prober: prober.New(e.Identify), estimator: estimator.New(), log: l, splitSeed: maphash.MakeSeed(),
 	}
 }
 
@@ -147,7 +145,7 @@
 	f.latencyRecorder.Store(&r)
 }
 
-// StopAt sets the time on the clock at which the process ends. Requests that typically take longer are refused from now
+// StopAt sets the time on the clock at which the process ends. Requests that may take longer are refused from now
 // on.
 func (f *Forwarder) StopAt(t time.Duration) {
 	f.stopAtNanos.Store(int64(t))
@@ -259,17 +257,37 @@
 	return quarantiner.Fingerprint(xxhash.Sum64String("prefill " + f.String()))
 }
 
-// outlivesProcess reports whether the process will probably end before the request does.
+// outlivesProcess reports whether the process may end before the request does. If that is not known because too few requests
+// like it have ended, the request may take all of its time. If no other gateway can serve it, it is accepted in any case.
 func (f *Forwarder) outlivesProcess(j *job) bool {
 	stopAt := time.Duration(f.stopAtNanos.Load())
-	if stopAt == 0 {
+	if stopAt == 0 || !f.controller.HasPeers() {
 		return false
 	}
-	typicalDuration := min(typicalCallDuration, j.deadline-j.receivedAt)
+	longest := j.deadline - j.receivedAt
+	if expected, known := f.expectedTime(j); known {
+		longest = min(longest, expected)
+	}
+	return j.receivedAt+longest > stopAt
+}
+
+// expectedTime returns how long a request takes at most as far as others on its route show.
+func (f *Forwarder) expectedTime(j *job) (d time.Duration, known bool) {
 	if j.engine != nil {
-		typicalDuration = min(typicalStreamDuration, j.deadline-j.receivedAt)
+		return f.estimator.GenerationTime(j.route.Name, j.MaxOutputTokens, j.receivedAt)
+	}
+	return f.estimator.CallTime(j.route.Name, j.receivedAt)
+}
+
+// recordDuration records how long a request took that was served.
+func (f *Forwarder) recordDuration(j *job) {
+	now := f.clock()
+	if j.engine == nil {
+		f.estimator.RecordCall(j.route.Name, now-j.receivedAt, now)
+		return
 	}
-	return j.receivedAt+typicalDuration > stopAt
+	tokens := (j.record.events - 1) * max(1, j.engine.TokensPerEvent)
+	f.estimator.RecordGeneration(j.route.Name, j.record.timeToHead, now-j.receivedAt-j.record.timeToHead, tokens, now)
 }
 
 // refuseUnknown refuses a request whose route or key is not in the configuration. If the configuration may be outdated,
