Calls that may be repeated are served by a service that is slow throughout

A lookup that takes 1.2 s on a route with a timeout of 1.5 s got 504 each time: both attempts were given up after 2.5 times the latency target, to try another endpoint that takes as long. If at least half of the recent attempts on a route are slow, an attempt has all the time that is left. TestEdgeNeverServesSlowRepeatableCalls: 0 of 12 served with that rule taken out, at least 9 with it.

--- a/cmd/pistachiovane/cmds/edge_stall_test.go
+++ b/cmd/pistachiovane/cmds/edge_stall_test.go
@@ -46,3 +46,22 @@
 		t.Errorf("got %d runs, want one: the stream was sound", runs)
 	}
 }
+
+// Calls that may be repeated were never served by a service whose endpoints all take longer than an attempt is meant to: each
+// attempt was given up for another one that took as long.
+func TestEdgeNeverServesSlowRepeatableCalls(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	for _, e := range env.serviceEndpoints {
+		e.ServiceTime = 1200 * time.Millisecond
+	}
+	served := 0
+	for range 12 {
+		if resp := env.call(http.MethodGet, "/read/x"); resp.status == http.StatusOK && resp.err == nil {
+			served++
+		}
+	}
+	if served < 9 {
+		t.Errorf("got %d of 12 calls served, want all but the first ones; log:\n%s", served, env.linesWith("forward: "))
+	}
+}
--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -150,6 +150,9 @@
 		NewConnection: j.route.Kind == matcher.AtMostOnce,
 	})
 	j.contact.response, j.contact.err, j.contact.executed = r, err, r.executed()
+	if j.route.Retryable() {
+		f.recordAttempt(ctx, j, f.clock()-startedAt)
+	}
 	var result outcome
 	var body []byte
 	if err == nil {
@@ -178,12 +181,26 @@
 }
 
 // attemptContext returns the context of an attempt. An attempt that may be retried gets a timeout, so that an endpoint
-// that does not respond uses only a part of the caller's time.
+// that does not respond uses only a part of the caller's time, unless most endpoints take longer.
 func (f *Forwarder) attemptContext(ctx context.Context, j *job, retryable bool) (context.Context, context.CancelFunc) {
-	if !retryable || j.route.TargetLatency <= 0 {
+	timeout := attemptTimeout(j)
+	if !retryable || timeout == 0 || f.estimator.IsMostlySlow(j.route.Name, f.clock()) {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, time.Duration(attemptTimeoutFactor*float64(j.route.TargetLatency)))
+	return context.WithTimeout(ctx, timeout)
+}
+
+// attemptTimeout returns the timeout of an attempt that may be retried. It is zero if the route has no latency target.
+func attemptTimeout(j *job) time.Duration {
+	return time.Duration(attemptTimeoutFactor * float64(max(0, j.route.TargetLatency)))
+}
+
+// recordAttempt records whether an attempt that may be retried was slow, unless the caller has gone. ctx is the context of the
+// caller.
+func (f *Forwarder) recordAttempt(ctx context.Context, j *job, took time.Duration) {
+	if timeout := attemptTimeout(j); timeout > 0 && !f.callerDisconnected(ctx, j) {
+		f.estimator.RecordAttempt(j.route.Name, took >= timeout, f.clock())
+	}
 }
 
 // classifyFailure returns the outcome of an attempt without a response. ctx is the context of the attempt.
