--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -21,6 +21,7 @@
 	credentialHeader  = "X-Pistachiovane-Credential"
 	timeBudgetHeader  = "X-Pistachiovane-Time-Budget-Ms"
 	tokenCountsHeader = "X-Pistachiovane-Token-Counts"
+	partsHeader       = "X-Pistachiovane-Prompt-Prefix"
 	serverSealHeader  = "X-Pistachiovane-Server-Seal"
 	// timeBudget is the time in which a request must be answered. A caller waits one second longer.
 	timeBudget = 3 * time.Second
@@ -93,7 +94,7 @@
 		if c.rng.Float64() < repeatedRatio {
 			body = repeatedBody
 		}
-		r := c.send(route, body)
+		r := c.send(route, body, "")
 		c.testbed.recordRequest(r)
 		if r.Status == 0 && r.CancelledAt.IsZero() || c.rng.Float64() < switchGatewayRatio {
 			c.switchGateway()
@@ -101,8 +102,9 @@
 	}
 }
 
-// send sends one request to a route and returns its record. An empty body means one that no other request has.
-func (c *caller) send(route, body string) verifier.Request {
+// send sends one request to a route and returns its record. An empty body means one that no other request has. The prompt of a
+// generation has the given part, or any one if that is empty.
+func (c *caller) send(route, body, part string) verifier.Request {
 	n := lastRequestNumber.Add(1)
 	r := verifier.Request{
 		ID: fmt.Sprintf("%s-%d", route, n), Account: c.account, APIKey: c.apiKey, Gateway: c.gateway.name,
@@ -125,6 +127,7 @@
 	isStream := route == routeDraft || route == routeNote
 	if isStream {
 		q.Header.Set(tokenCountsHeader, "100,100")
+		q.Header.Set(partsHeader, c.prompt(strconv.FormatUint(n, 16), part))
 	}
 	if route == routeDraft || route == routeRead {
 		r.Kind = verifier.Retryable
--- a/cmd/soak/checks.go
+++ b/cmd/soak/checks.go
@@ -55,7 +55,7 @@
 			if version == 0 {
 				continue
 			}
-			if got := c.send(versionRoute(version), "").Status; got != want {
+			if got := c.send(versionRoute(version), "", "").Status; got != want {
 				out = append(out, verifier.Finding{
 					Promise: "newest configuration", ID: g.name,
 					Detail: fmt.Sprintf("route of version %d answered %d, want %d", version, got, want),
--- a/cmd/soak/crashes.go
+++ b/cmd/soak/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -14,6 +15,11 @@
 	// prefillCrashingBody also crash each endpoint that begins to prefill them.
 	crashingBody        = "crash"
 	prefillCrashingBody = "crash in the prefill"
+	// crashingPart is a part of prompts that crashes each endpoint that begins to write an answer on it. Requests with it are no
+	// two alike. firstPart is the first part of all prompts, and sessions is how many further parts there are.
+	crashingPart = "bad0"
+	firstPart    = "aa01"
+	sessions     = 20
 	// repeatedBody is the body of requests that many callers send and that do no harm.
 	repeatedBody = "repeated"
 	// repeatedRatio is the fraction of requests with repeatedBody.
@@ -28,7 +34,18 @@
 
 // isCrashing reports whether a run or a prefill crashes its endpoint.
 func isCrashing(r standin.Run) bool {
-	return r.Body == prefillCrashingBody || (r.Body == crashingBody && !r.IsPrefill)
+	if r.Body == prefillCrashingBody {
+		return true
+	}
+	return !r.IsPrefill && (r.Body == crashingBody || strings.Contains(r.Header.Get(partsHeader), crashingPart))
+}
+
+// prompt returns the parts of the prompt of a request: the first one, one that other requests have too, and its own.
+func (c *caller) prompt(id, shared string) string {
+	if shared == "" {
+		shared = strconv.FormatInt(int64(0xb000+c.rng.IntN(sessions)), 16)
+	}
+	return firstPart + ":40," + shared + ":40," + id + ":20"
 }
 
 // newCrasher returns a caller for runCrasher.
@@ -39,7 +56,8 @@
 	}
 }
 
-// runCrasher sends requests that crash endpoints to random gateways, to each route in turn, until stop is closed.
+// runCrasher sends requests that crash endpoints to random gateways until stop is closed: one that is repeated, to each route
+// in turn, and another one with crashingPart.
 func (c *caller) runCrasher(stop <-chan struct{}) {
 	routes := []string{routeNote, routeDraft, routeRead, routeBook}
 	for n := 0; ; n++ {
@@ -54,9 +72,12 @@
 		if route == routeNote {
 			body = prefillCrashingBody
 		}
-		r := c.send(route, body)
+		r := c.send(route, body, "")
 		r.CrashesAs = route
 		c.testbed.recordRequest(r)
+		r = c.send([]string{routeDraft, routeNote}[n%2], "", crashingPart)
+		r.CrashesAs, r.CrashesByPart = crashingPart, true
+		c.testbed.recordRequest(r)
 	}
 }
 
--- a/internal/soak/verifier/verifier.go
+++ b/internal/soak/verifier/verifier.go
@@ -40,9 +40,10 @@
 	Defect string
 	// IsPart is set if a response of status 200 is only a part of the answer, and the caller was not told that it is whole.
 	IsPart bool
-	// CrashesAs names the requests with the same account, target and body, which crash each endpoint that runs them. It is
-	// empty for requests that do no harm.
-	CrashesAs string
+	// CrashesAs names the requests with the same account, target and body, or with the same part of their prompts if
+	// CrashesByPart is set, which crash each endpoint that runs them. It is empty for requests that do no harm.
+	CrashesAs     string
+	CrashesByPart bool
 	// CancelledAt is when the caller disconnected; it is zero when the caller waited for the response.
 	CancelledAt time.Time
 }
