A common part no longer takes the blame from the one that crashes endpoints

A feature now waits for a better explanation of most of its crashes that is not sufficient yet. Crashes of an endpoint that had started again within a second counted as one; a run that began after a crash belongs to the next one. TestCommonFeatureIsBlamedBeforeRarerOne failed before. The tests of parts and of stops also raced for the number of the next request; they give it themselves now.

--- a/cmd/pistachiovane/cmds/edge_caller_test.go
+++ b/cmd/pistachiovane/cmds/edge_caller_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"testing"
 )
 
 // response is the response that a caller received. err is the error of the request or of reading the body. unframed is set
@@ -27,13 +28,22 @@
 // in turn.
 func (env *testEnv) newRequest(method, path, body string, header ...string) *http.Request {
 	env.t.Helper()
-	r, err := http.NewRequestWithContext(context.Background(), method, env.server.URL+path, strings.NewReader(body))
+	env.lastRequestID++
+	r := env.testGateway.newRequest(env.t, fmt.Sprintf("id%d", env.lastRequestID), path, body, header...)
+	r.Method = method
+	return r
+}
+
+// newRequest returns a POST request to the gateway with an ID and further header fields, whose caller waits for 3 s. It may be
+// called by several goroutines.
+func (g *testGateway) newRequest(t *testing.T, id, path, body string, header ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, g.server.URL+path, strings.NewReader(body))
 	if err != nil {
-		env.t.Fatal(err)
+		t.Error(err)
 	}
-	env.lastRequestID++
 	r.Host = "h"
-	r.Header.Set("X-Pistachiovane-Attempt-Id", fmt.Sprintf("id%d", env.lastRequestID))
+	r.Header.Set("X-Pistachiovane-Attempt-Id", id)
 	r.Header.Set("X-Pistachiovane-Credential", "key")
 	r.Header.Set("X-Pistachiovane-Time-Budget-Ms", "3000")
 	for i := 0; i < len(header); i += 2 {
--- a/cmd/pistachiovane/cmds/edge_shared_part_test.go
+++ b/cmd/pistachiovane/cmds/edge_shared_part_test.go
@@ -104,14 +104,11 @@
 
 // sendPrompt sends request n to a gateway and returns the response.
 func (env *partEnv) sendPrompt(g *testGateway, n int, crashing bool) response {
-	r := env.newRequest(http.MethodPost, env.partCase.path, fmt.Sprint("body ", n), "X-Pistachiovane-Prompt-Prefix", env.prompt(n, crashing))
-	r.URL.Host = strings.TrimPrefix(g.server.URL, "http://")
+	header := []string{"X-Pistachiovane-Prompt-Prefix", env.prompt(n, crashing)}
 	if env.partCase.stage != "" {
-		r.Header.Set("X-Pistachiovane-Token-Counts", "100,100")
-		r.Header.Set("X-Pistachiovane-Model", "m")
+		header = append(header, "X-Pistachiovane-Token-Counts", "100,100", "X-Pistachiovane-Model", "m")
 	}
-	r.Header.Set("X-Pistachiovane-Attempt-Id", fmt.Sprintf("part%d", n))
-	return env.send(r)
+	return env.send(g.newRequest(env.t, fmt.Sprint("part", n), env.partCase.path, fmt.Sprint("body ", n), header...))
 }
 
 // sendAll sends the requests of the case, a group each repeatInterval at the gateways in turn, for partTestTime, and waits
--- a/cmd/pistachiovane/cmds/edge_stop_test.go
+++ b/cmd/pistachiovane/cmds/edge_stop_test.go
@@ -143,17 +143,9 @@
 // sendLong sends a request with a time budget of 12 s to a gateway. Requests to /draft/ and /note/ are generations of at most
 // 50 tokens.
 func (env *testEnv) sendLong(g *testGateway, path string) response {
-	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, g.server.URL+path, http.NoBody)
-	if err != nil {
-		return response{err: err}
-	}
-	r.Host = "h"
-	r.Header.Set("X-Pistachiovane-Attempt-Id", fmt.Sprint("long", time.Now().UnixNano()))
-	r.Header.Set("X-Pistachiovane-Credential", "key")
-	r.Header.Set("X-Pistachiovane-Time-Budget-Ms", "12000")
+	header := []string{"X-Pistachiovane-Time-Budget-Ms", "12000"}
 	if path != "/book/x" {
-		r.Header.Set("X-Pistachiovane-Token-Counts", "100,50")
-		r.Header.Set("X-Pistachiovane-Model", "m")
+		header = append(header, "X-Pistachiovane-Token-Counts", "100,50", "X-Pistachiovane-Model", "m")
 	}
-	return env.send(r)
+	return env.send(g.newRequest(env.t, fmt.Sprint("long", time.Now().UnixNano()), path, "", header...))
 }
--- a/pkg/attributor/attributor.go
+++ b/pkg/attributor/attributor.go
@@ -24,9 +24,10 @@
 )
 
 const (
-	// sameCrashInterval is the time within which two broken runs at one endpoint mean the same crash. An endpoint takes longer
-	// to start again.
+	// Two runs that broke at one endpoint within sameCrashInterval mean the same crash, unless one began later than restartTime
+	// after the other broke, so that the endpoint had started again.
 	sameCrashInterval = time.Second
+	restartTime       = 100 * time.Millisecond
 	// sendsPerChange is how often a change is sent to the peers, because messages may be lost.
 	sendsPerChange = 4
 	// MaxFeaturesPerRun limits the features that are recorded of one run. The first ones are those that most requests share.
@@ -88,6 +89,12 @@
 	unsent int
 }
 
+// isSameCrash reports whether a run broke in the same crash as an earlier one.
+func (r *run) isSameCrash(earlier *run) bool {
+	return r.endpoint == earlier.endpoint && r.crashedAt-earlier.crashedAt < sameCrashInterval &&
+		r.startedAt <= earlier.crashedAt+restartTime
+}
+
 // state is what is known of a feature of a broken run.
 type state struct {
 	// runs counts the stored runs with the feature.
--- a/pkg/attributor/attributor_test.go
+++ b/pkg/attributor/attributor_test.go
@@ -97,6 +97,38 @@
 	}
 }
 
+// A part that all requests have reached the number of crashes that it needs a moment before the one that crashes endpoints, and
+// took the blame for it.
+func TestCommonFeatureIsBlamedBeforeRarerOne(t *testing.T) {
+	a := attributor.New(retention, maxRuns)
+	crash := func(i int, guiltyStartedAt time.Duration) {
+		at := time.Duration(i) * time.Second
+		lastRunID += 2
+		a.RecordCrash(lastRunID, fmt.Sprint("e", i), []attributor.Feature{common}, at-100*time.Millisecond, at, at)
+		a.RecordCrash(lastRunID+1, fmt.Sprint("e", i), []attributor.Feature{common, guilty}, guiltyStartedAt, at, at)
+	}
+	for i := range 8 {
+		// Half of the runs with the guilty part began before the crash before.
+		startedAt := time.Duration(i)*time.Second - 100*time.Millisecond
+		if i%2 == 1 {
+			startedAt -= time.Second
+		}
+		crash(i+1, startedAt+time.Second)
+	}
+	if isRefused(a, 8*time.Second, common) {
+		t.Error("got a refusal of the common part while a rarer one explains the same crashes, want none")
+	}
+	for i := 9; !isRefused(a, time.Duration(i)*time.Second, common, guilty); i++ {
+		if i > 14 {
+			t.Fatal("got no refusal of the guilty part, want one after some more crashes")
+		}
+		crash(i, time.Duration(i)*time.Second-100*time.Millisecond)
+	}
+	if isRefused(a, 14*time.Second, common) || !isRefused(a, 14*time.Second, guilty) {
+		t.Error("got another verdict than a refusal of the guilty part alone")
+	}
+}
+
 // Two parts that come together explain the same crashes. A request with one of them is tried soon, which tells them apart.
 func TestFeaturesThatTieAreNotToldApart(t *testing.T) {
 	a := newBlaming(guilty, paired)
--- a/pkg/attributor/evaluation.go
+++ b/pkg/attributor/evaluation.go
@@ -160,20 +160,42 @@
 	s.lastCrashAt, s.isOwn, s.lateCrashes = last.at, last.own, e.late()
 }
 
-// bestOf returns the best of the sufficient explanations, or nil if there is none.
+// bestOf returns the best of the sufficient explanations, or nil if there is none. One for which there is a better explanation
+// that is not sufficient yet has to wait for that.
 func bestOf(open map[Feature]*explanation) *explanation {
 	var best *explanation
 	for _, e := range open {
-		if !e.isSufficient() {
-			continue
-		}
-		if best == nil || cmp.Or(cmp.Compare(e.score(), best.score()), cmp.Compare(best.feature, e.feature)) > 0 {
+		if e.isSufficient() && (best == nil || e.isBetterThan(best)) {
 			best = e
 		}
 	}
+	if best == nil {
+		return nil
+	}
+	for _, e := range open {
+		if e != best && e.isBetterThan(best) && 2*e.countOf(best.crashes) >= len(best.crashes) {
+			return nil
+		}
+	}
 	return best
 }
 
+// isBetterThan reports whether one of two explanations is to be blamed first.
+func (e *explanation) isBetterThan(other *explanation) bool {
+	return cmp.Or(cmp.Compare(e.score(), other.score()), cmp.Compare(other.feature, e.feature)) > 0
+}
+
+// countOf returns how many of the given crashes the feature explains.
+func (e *explanation) countOf(crashes []crash) int {
+	n := 0
+	for _, c := range e.crashes {
+		if slices.ContainsFunc(crashes, func(x crash) bool { return x.number == c.number }) {
+			n++
+		}
+	}
+	return n
+}
+
 // blame blames the best explanation, and those that tie with it.
 func (a *Attributor) blame(best *explanation, open map[Feature]*explanation, now time.Duration) {
 	tied := []Feature{best.feature}
@@ -217,7 +239,7 @@
 	out := map[Feature]*explanation{}
 	number := 0
 	for i, r := range sorted {
-		if i > 0 && (sorted[i-1].endpoint != r.endpoint || r.crashedAt-sorted[i-1].crashedAt >= sameCrashInterval) {
+		if i > 0 && !r.isSameCrash(sorted[i-1]) {
 			number++
 		}
 		for _, f := range r.features {
