Own interface: lines of prompts are blamed for crashes too

Prompts with one line in common, no two alike, crashed engine after engine through the product's own interface: its dispatcher knew whole prompts only. Lines but the last are features of the run and of its prefill; the gossip carries what is known of them. The wire form is one package for both faces.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/gateway/connector"
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/catalog"
 	"github.com/pistachiovane/pistachiovane/pkg/dispatcher"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
@@ -20,10 +21,18 @@
 	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
+// The kinds of features that are the parts of prompts.
+const (
+	runPartKind     = "part"
+	prefillPartKind = "prefilled part"
+)
+
 const (
 	// crashRecordsPerMessage is how many crash records a message to a peer contains, in turn. A message goes to one peer,
 	// which passes its content on, so changes have no precedence.
 	crashRecordsPerMessage = 256
+	// partReportsPerMessage is the same for broken runs and what is known of the parts of their prompts.
+	partReportsPerMessage = 32
 	// tickInterval is the time between two checks of the queued requests.
 	tickInterval = 50 * time.Millisecond
 	// reserveTimeout is the longest wait for an agent's answer to a reservation.
@@ -63,6 +72,7 @@
 	dispatcher  *dispatcher.Dispatcher
 	router      *router.Router
 	quarantiner *quarantiner.Quarantiner
+	attributor  *attributor.Attributor
 	// generations holds the generations in progress by request ID.
 	generations   map[uint64]*Generation
 	lastRequestID uint64
@@ -76,9 +86,11 @@
 }
 
 // New returns a coordinator without generations. SetConnector must be called before its first use.
-func New(d *dispatcher.Dispatcher, r *router.Router, q *quarantiner.Quarantiner, initialFreePieces int) *Coordinator {
+func New(
+	d *dispatcher.Dispatcher, r *router.Router, q *quarantiner.Quarantiner, a *attributor.Attributor, initialFreePieces int,
+) *Coordinator {
 	return &Coordinator{
-		start: time.Now(), dispatcher: d, router: r, quarantiner: q, initialFreePieces: initialFreePieces,
+		start: time.Now(), dispatcher: d, router: r, quarantiner: q, attributor: a, initialFreePieces: initialFreePieces,
 		generations: make(map[uint64]*Generation), baseCtx: context.Background(),
 	}
 }
@@ -119,6 +131,10 @@
 		PrefixDigest: tokenizer.PrefixDigest(req.Prompt),
 		Fingerprint:  quarantiner.Fingerprint(tokenizer.Digest(req.Account.Name, req.Prompt)),
 	}
+	for _, part := range tokenizer.Parts(req.Prompt, attributor.MaxFeaturesPerRun) {
+		r.Features = append(r.Features, attributor.NewFeature(runPartKind, part))
+		r.PrefillFeatures = append(r.PrefillFeatures, attributor.NewFeature(prefillPartKind, part))
+	}
 	if !req.Draft {
 		g.priority = 0
 		r.Class = scheduler.Interactive
@@ -186,6 +202,20 @@
 	c.quarantiner.Merge(records, c.now())
 }
 
+// NextPartReports returns what a peer is told of the parts of prompts that may crash endpoints.
+func (c *Coordinator) NextPartReports() attributor.Reports {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attributor.NextReports(partReportsPerMessage, partReportsPerMessage, c.now())
+}
+
+// MergePartReports adds what a peer told of the parts of prompts.
+func (c *Coordinator) MergePartReports(r attributor.Reports) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attributor.Merge(r, c.now())
+}
+
 // QueueLengths returns the number of queued interactive requests and of queued drafts.
 func (c *Coordinator) QueueLengths() (interactive, drafts int) {
 	c.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/pistachiovane/pistachiovane/gateway/requester"
 	"github.com/pistachiovane/pistachiovane/gateway/server"
 	"github.com/pistachiovane/pistachiovane/pkg/allocator"
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/budgeter"
 	"github.com/pistachiovane/pistachiovane/pkg/catalog"
 	"github.com/pistachiovane/pistachiovane/pkg/credential"
@@ -45,6 +46,8 @@
 	crashRecordLifetime = 24 * time.Hour
 	// maxCrashRecords is the largest number of requests that are remembered in this way.
 	maxCrashRecords = 10000
+	// maxBrokenRuns is the largest number of runs that are remembered because their endpoint crashed.
+	maxBrokenRuns = 512
 	// retryRatio is how many retries are allowed for each first attempt. retryBurst is how many unused ones may be
 	// saved, and thus the longest burst of retries.
 	retryRatio = 0.1
@@ -142,8 +145,11 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	endpointRouter := router.New(policy, g.settings.Domain, rng)
 	crashQuarantiner := quarantiner.New(crashRecordLifetime, maxCrashRecords)
-	d := dispatcher.New(options, endpointRouter, crashQuarantiner, budgeter.New(retryRatio, retryBurst))
-	g.coordinator = coordinator.New(d, endpointRouter, crashQuarantiner, initialFreePieces)
+	crashAttributor := attributor.New(crashRecordLifetime, maxBrokenRuns)
+	d := dispatcher.New(
+		options, endpointRouter, crashQuarantiner, crashAttributor, budgeter.New(retryRatio, retryBurst),
+	)
+	g.coordinator = coordinator.New(d, endpointRouter, crashQuarantiner, crashAttributor, initialFreePieces)
 }
 
 // supervise adds the parts that run in the background to the supervisor.
--- a/gateway/gossiper/gossiper.go
+++ b/gateway/gossiper/gossiper.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiovane/pistachiovane/gateway/admitter"
 	"github.com/pistachiovane/pistachiovane/gateway/configurer"
 	"github.com/pistachiovane/pistachiovane/gateway/coordinator"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashencoder"
 	"github.com/pistachiovane/pistachiovane/pkg/credential"
 	"github.com/pistachiovane/pistachiovane/service/fleet"
 	"github.com/pistachiovane/pistachiovane/service/platform"
@@ -265,15 +266,19 @@
 	})
 }
 
-// applyGossip applies the lists and crash records of a gossip message.
+// applyGossip applies the lists and what the peer knows of crashes.
 func (g *Gossiper) applyGossip(m fleet.GossipMessage) {
 	g.configurer.ReceiveLists(m.Lists)
 	g.coordinator.MergeCrashRecords(fleet.DecodeCrashRecords(m.CrashRecords))
+	g.coordinator.MergePartReports(m.Parts.Decode(0))
 }
 
-// newMessage returns a gossip message with the versions of the lists and some crash records of this gateway.
+// newMessage returns a gossip message with the versions of the lists and some of what this gateway knows of crashes.
 func (g *Gossiper) newMessage() fleet.GossipMessage {
-	m := fleet.GossipMessage{CrashRecords: fleet.EncodeCrashRecords(g.coordinator.NextCrashRecords())}
+	m := fleet.GossipMessage{
+		CrashRecords: fleet.EncodeCrashRecords(g.coordinator.NextCrashRecords()),
+		Parts:        crashencoder.Encode(g.coordinator.NextPartReports()),
+	}
 	m.PlansVersion, m.UsesVersion, m.VMsVersion = g.configurer.Versions()
 	return m
 }
--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashencoder"
 )
 
 // stateMethod is the JSON-RPC method of the only notification between gateways.
@@ -83,26 +84,6 @@
 	Cleared bool `json:"ok,omitempty"`
 }
 
-// BrokenRun is a run that broke when its endpoint crashed, with what it shares with others.
-type BrokenRun struct {
-	// ID tells it from all other runs.
-	ID       uint64 `json:"i"`
-	Endpoint string `json:"e"`
-	// AgeMs is the time since the crash in ms, and DurationMs the time from the start of the run to the crash.
-	AgeMs      int64 `json:"a"`
-	DurationMs int64 `json:"d,omitempty"`
-	// Parts holds the digests of the parts of the prompt that others may share, 8 bytes each, little endian.
-	Parts []byte `json:"p"`
-}
-
-// AcquittedPart is a part of prompts with which a run completed.
-type AcquittedPart struct {
-	// Part is the digest of the part.
-	Part uint64 `json:"p"`
-	// AgeMs is the time since the latest of these runs began, in ms.
-	AgeMs int64 `json:"a"`
-}
-
 // EndpointChange is a change of the endpoint list that the sender has read from the store or received from a peer.
 type EndpointChange struct {
 	Key string `json:"k"`
@@ -150,9 +131,8 @@
 	// AvailableTokens holds the tokens that each account may still spend. Only peers that need them get them.
 	AvailableTokens map[string]float64 `json:"level,omitempty"`
 	CrashRecords    []CrashRecord      `json:"blame,omitempty"`
-	// BrokenRuns and AcquittedParts say which parts of prompts may crash endpoints.
-	BrokenRuns     []BrokenRun     `json:"broken,omitempty"`
-	AcquittedParts []AcquittedPart `json:"served,omitempty"`
+	// Parts says which parts of prompts may crash endpoints.
+	Parts crashencoder.Reports `json:"parts,omitzero"`
 	// OrderAgesMs holds, by endpoint, the age in ms of the latest order to change the stage. The order is to become a
 	// decode endpoint unless PrefillOrders names the endpoint.
 	OrderAgesMs   map[string]int64 `json:"order,omitempty"`
@@ -230,20 +210,7 @@
 			return errors.Errorf("state message of %s has crashes of ages %d ms", m.From, ages)
 		}
 	}
-	for _, r := range m.BrokenRuns {
-		if min(r.AgeMs, r.DurationMs) < 0 || max(r.AgeMs, r.DurationMs) > maxCrashAge.Milliseconds() {
-			return errors.Errorf("state message of %s has a broken run of age %d ms and duration %d ms", m.From, r.AgeMs, r.DurationMs)
-		}
-		if len(r.Parts)%8 != 0 {
-			return errors.Errorf("state message of %s has a broken run with %d bytes of parts", m.From, len(r.Parts))
-		}
-	}
-	for _, p := range m.AcquittedParts {
-		if p.AgeMs < 0 || p.AgeMs > maxCrashAge.Milliseconds() {
-			return errors.Errorf("state message of %s has a served part of age %d ms", m.From, p.AgeMs)
-		}
-	}
-	return nil
+	return errors.Wrapf(m.Parts.Check(), "state message of %s", m.From)
 }
 
 // decode parses a JSON-RPC notification. It fails if the method is not stateMethod or if the message fails its check.
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -1,12 +1,12 @@
 package controller
 
 import (
-	"encoding/binary"
 	"slices"
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashencoder"
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/prober"
 	"github.com/pistachiovane/pistachiovane/pkg/attributor"
@@ -23,8 +23,6 @@
 	crashRecordsForNewPeer = 8
 	// maxPartChangesPerMessage is how many of maxCrashChangesPerMessage may be about the parts of prompts.
 	maxPartChangesPerMessage = 5
-	// bytesPerPart is the length of a part in a message.
-	bytesPerPart = 8
 )
 
 // UpdateCrashTracker calls a function on the crash tracker under the lock.
@@ -125,17 +123,21 @@
 		others, forNewPeer = crashRecordsForNewPeer, crashRecordsForNewPeer
 		parts.Runs = append(parts.Runs, c.crashTracker.NextPartReports(0, 0, forNewPeer, now).Runs...)
 	}
-	m.BrokenRuns, m.AcquittedParts = encodePartReports(parts)
+	m.Parts = crashencoder.Encode(parts)
 	changes := maxCrashChangesPerMessage - min(maxPartChangesPerMessage, len(parts.Runs)+len(parts.Acquittals))
 	m.CrashRecords = encodeCrashRecords(c.crashTracker.NextCrashRecords(changes, others, now))
 }
 
 // receiveCrashRecords adds the crash records of a message. Reports of one crash are recognised by its time, so those of a
 // message that took an unknown time are left out: the sender repeats them. Older builds never say when they sent a
-// message; their messages count as fast. Broken runs are recognised by their IDs, so they count in any case. The lock must be
-// held.
+// message; their messages count as fast. Broken runs are recognised by their IDs, so they count in any case. An acquittal of
+// a message that took an unknown time is left out: it would seem to be from a later time than it is. The lock must be held.
 func (c *Controller) receiveCrashRecords(m broadcaster.Message, now time.Duration) {
-	c.crashTracker.MergeParts(decodePartReports(m), now)
+	parts := m.Parts.Decode(m.TransitTime)
+	if !m.TransitKnown {
+		parts.Acquittals = nil
+	}
+	c.crashTracker.MergeParts(parts, now)
 	switch {
 	case m.TransitKnown:
 		c.crashTracker.Merge(decodeCrashRecords(m.CrashRecords, m.TransitTime), now)
@@ -144,46 +146,6 @@
 	}
 }
 
-// encodePartReports converts reports about the parts of prompts for a message.
-func encodePartReports(r attributor.Reports) (runs []broadcaster.BrokenRun, acquitted []broadcaster.AcquittedPart) {
-	for _, b := range r.Runs {
-		w := broadcaster.BrokenRun{
-			ID: b.ID, Endpoint: b.Endpoint, AgeMs: b.Age.Milliseconds(), DurationMs: b.Duration.Milliseconds(),
-		}
-		for _, f := range b.Features {
-			w.Parts = binary.LittleEndian.AppendUint64(w.Parts, uint64(f))
-		}
-		runs = append(runs, w)
-	}
-	for _, a := range r.Acquittals {
-		acquitted = append(acquitted, broadcaster.AcquittedPart{Part: uint64(a.Feature), AgeMs: a.Age.Milliseconds()})
-	}
-	return runs, acquitted
-}
-
-// decodePartReports returns the reports about the parts of prompts in a message. Ages are counted from now. An acquittal of a
-// message that took an unknown time is left out: it would seem to be from a later time than it is.
-func decodePartReports(m broadcaster.Message) attributor.Reports {
-	var out attributor.Reports
-	for _, w := range m.BrokenRuns {
-		r := attributor.Run{
-			ID: w.ID, Endpoint: w.Endpoint, Age: time.Duration(w.AgeMs)*time.Millisecond + m.TransitTime,
-			Duration: time.Duration(w.DurationMs) * time.Millisecond,
-		}
-		for i := 0; i+bytesPerPart <= len(w.Parts); i += bytesPerPart {
-			r.Features = append(r.Features, attributor.Feature(binary.LittleEndian.Uint64(w.Parts[i:])))
-		}
-		out.Runs = append(out.Runs, r)
-	}
-	for _, w := range m.AcquittedParts {
-		age := time.Duration(w.AgeMs)*time.Millisecond + m.TransitTime
-		if m.TransitKnown {
-			out.Acquittals = append(out.Acquittals, attributor.Acquittal{Feature: attributor.Feature(w.Part), Age: age})
-		}
-	}
-	return out
-}
-
 // encodeCrashRecords converts crash records for a message. Ages become ms. The list of all crashes is left out if it would
 // add nothing to the endpoint and the age.
 func encodeCrashRecords(records []quarantiner.CrashRecord) []broadcaster.CrashRecord {
--- a/load/runner/gateway.go
+++ b/load/runner/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/pkg/allocator"
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/budgeter"
 	"github.com/pistachiovane/pistachiovane/pkg/dispatcher"
 	"github.com/pistachiovane/pistachiovane/pkg/limiter"
@@ -75,7 +76,7 @@
 		routes.Set(r.agents[id].endpoint, r.options.Fleet.Engine.MemoryPieces)
 	}
 	crashRecords := quarantiner.New(crashRecordWindow, maxCrashRecords)
-	g.dispatcher = dispatcher.New(options, routes, crashRecords, budgeter.New(retriesPerRequest, maxSavedRetries))
+	g.dispatcher = dispatcher.New(options, routes, crashRecords, attributor.New(crashRecordWindow, maxCrashRecords), budgeter.New(retriesPerRequest, maxSavedRetries))
 	g.allocator = allocator.New(
 		allocator.Member{Name: g.name, Incarnation: uint64(g.incarnation)},
 		allocator.Options{MaxListLag: maxListLag, MaxUnnoticedPause: maxUnnoticedPause},
--- a/pkg/dispatcher/attempts.go
+++ b/pkg/dispatcher/attempts.go
@@ -8,9 +8,14 @@
 	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
 )
 
-// startAttempt removes j, which must be the first request of the queue, and starts its next attempt. It returns false
-// and leaves the queue unchanged if no suitable endpoint has capacity.
+// startAttempt removes j, which must be the first request of the queue, and starts its next attempt, or fails it if it was
+// found to crash endpoints. It returns false and leaves the queue unchanged if no suitable endpoint has capacity.
 func (d *Dispatcher) startAttempt(j *job, now time.Duration) bool {
+	if d.crashesEndpoints(j, now) {
+		d.queue.Pop()
+		d.failRequest(j, ReasonCrashesEndpoints)
+		return true
+	}
 	prefill := d.router.Pick(endpoint.Prefill, d.routerRequest(j, now))
 	if prefill == nil || !d.hasShortBacklog(prefill) {
 		return false
@@ -18,7 +23,7 @@
 	if d.options.ReserveAfterPrefill {
 		d.queue.Pop()
 		j.attempt++
-		d.startPrefill(j, prefill)
+		d.startPrefill(j, prefill, now)
 		return true
 	}
 	decode := d.router.Pick(endpoint.Decode, d.routerRequest(j, now))
@@ -27,7 +32,7 @@
 	}
 	d.queue.Pop()
 	j.attempt++
-	d.reserveDecode(j, decode)
+	d.reserveDecode(j, decode, now)
 	return true
 }
 
@@ -61,7 +66,8 @@
 }
 
 // reserveDecode reserves a decode slot for the job and adds it to the known load of the endpoint.
-func (d *Dispatcher) reserveDecode(j *job, s *router.EndpointState) {
+func (d *Dispatcher) reserveDecode(j *job, s *router.EndpointState, now time.Duration) {
+	d.beginTrial(j, now)
 	j.phase = reserving
 	j.decodeEndpoint = s.ID
 	pieces := d.requiredPieces(j)
@@ -76,7 +82,7 @@
 // deadline can no longer be met, the reservation is released and the job requeued.
 func (d *Dispatcher) handleReserved(j *job, now time.Duration) {
 	if d.options.ReserveAfterPrefill {
-		d.startDecode(j)
+		d.startDecode(j, now)
 		return
 	}
 	request := d.routerRequest(j, now)
@@ -86,13 +92,13 @@
 		d.requeue(j)
 		return
 	}
-	d.startPrefill(j, s)
+	d.startPrefill(j, s, now)
 }
 
 // startPrefill sends the job to a prefill endpoint and adds it to the endpoint's known backlog, with half its tokens if
 // the endpoint has its prefix cached.
-func (d *Dispatcher) startPrefill(j *job, s *router.EndpointState) {
-	j.phase = prefilling
+func (d *Dispatcher) startPrefill(j *job, s *router.EndpointState, now time.Duration) {
+	j.phase, j.phaseStartedAt = prefilling, now
 	j.executionStarted = true
 	j.prefillEndpoint = s.ID
 	j.backlogTokens = j.PromptTokens + j.sentTokens
@@ -113,8 +119,9 @@
 // the attempt fails if there is none.
 func (d *Dispatcher) handlePrefilled(j *job, now time.Duration) {
 	d.reduceBacklog(j)
+	d.attributor.RecordServed(j.PrefillFeatures, j.phaseStartedAt, now)
 	if !d.options.ReserveAfterPrefill {
-		d.startDecode(j)
+		d.startDecode(j, now)
 		return
 	}
 	decode := d.router.Pick(endpoint.Decode, d.routerRequest(j, now))
@@ -122,12 +129,12 @@
 		d.handleFailure(j, AttemptLost, now)
 		return
 	}
-	d.reserveDecode(j, decode)
+	d.reserveDecode(j, decode, now)
 }
 
 // startDecode starts decode at the endpoint where the job has a slot.
-func (d *Dispatcher) startDecode(j *job) {
-	j.phase = decoding
+func (d *Dispatcher) startDecode(j *job, now time.Duration) {
+	j.phase, j.phaseStartedAt = decoding, now
 	d.commands = append(d.commands, Command{
 		Kind: StartDecode, Request: j.ID, Attempt: j.attempt, Endpoint: j.decodeEndpoint, KVSource: j.prefillEndpoint,
 		PromptTokens: j.PromptTokens + j.sentTokens, MaxOutputTokens: j.MaxOutputTokens - j.sentTokens,
@@ -148,8 +155,7 @@
 		d.router.ReportFailure(failedEndpoint, now)
 	}
 	if kind == EndpointCrashed {
-		d.quarantiner.RecordCrash(j.Fingerprint, failedEndpoint, now)
-		j.suspect = true
+		d.recordCrash(j, failedEndpoint, now)
 	}
 	d.releaseEndpoints(j)
 	j.lastFailedEndpoint = failedEndpoint
@@ -161,7 +167,7 @@
 	}
 	j.failedAttempts++
 	switch {
-	case d.quarantiner.IsRefused(j.Fingerprint, now):
+	case d.crashesEndpoints(j, now):
 		d.failRequest(j, ReasonCrashesEndpoints)
 	case j.failedAttempts >= d.options.MaxAttempts:
 		d.failRequest(j, ReasonRetriesExhausted)
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/budgeter"
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
@@ -97,6 +98,10 @@
 	suspect bool
 	// backlogTokens is what the job added to the known backlog of its prefill endpoint.
 	backlogTokens int
+	// phaseStartedAt is when the current prefill or decode began. isTrial is set once the request was sent although one of its
+	// features is blamed.
+	phaseStartedAt time.Duration
+	isTrial        bool
 	// executionStarted is set once an engine was commanded to run any part of the request; it is never reset.
 	executionStarted bool
 }
@@ -107,6 +112,7 @@
 	router      *router.Router
 	queue       *scheduler.Scheduler[*job]
 	quarantiner *quarantiner.Quarantiner
+	attributor  *attributor.Attributor
 	retryBudget *budgeter.Budgeter
 	// jobs holds all queued and running requests by their IDs.
 	jobs map[uint64]*job
@@ -122,12 +128,15 @@
 }
 
 // New returns a dispatcher without requests that sends work to the endpoints of r.
-func New(o Options, r *router.Router, q *quarantiner.Quarantiner, b *budgeter.Budgeter) *Dispatcher {
+func New(
+	o Options, r *router.Router, q *quarantiner.Quarantiner, a *attributor.Attributor, b *budgeter.Budgeter,
+) *Dispatcher {
 	return &Dispatcher{
 		options:     o,
 		router:      r,
 		queue:       scheduler.New[*job](),
 		quarantiner: q,
+		attributor:  a,
 		retryBudget: b,
 		jobs:        make(map[uint64]*job),
 	}
@@ -173,7 +182,7 @@
 		return ReasonDraining, false
 	case !d.router.Serves(endpoint.Decode, j.Model):
 		return ReasonUnknownModel, false
-	case d.quarantiner.IsRefused(j.Fingerprint, now):
+	case d.crashesEndpoints(j, now):
 		return ReasonCrashesEndpoints, false
 	case d.queue.Len(j.Class) >= d.options.MaxQueuedPerClass:
 		return ReasonOverload, false
@@ -232,6 +241,7 @@
 	if j.suspect {
 		d.quarantiner.Clear(j.Fingerprint, now)
 	}
+	d.attributor.RecordServed(j.Features, j.phaseStartedAt, now)
 	d.clearEndpoints(j)
 	delete(d.jobs, j.ID)
 	d.commands = append(d.commands, Command{Kind: Finish, Request: j.ID, Attempt: j.attempt})
--- a/pkg/dispatcher/dispatcher_test.go
+++ b/pkg/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/budgeter"
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
@@ -27,7 +28,7 @@
 	for i := range decodeEndpoints {
 		r.Set(endpoint.Endpoint{ID: fmt.Sprint("d", i), Domain: "a", Model: "m", Role: endpoint.Decode, Slots: 1}, 100)
 	}
-	return New(DefaultOptions(), r, quarantiner.New(time.Minute, 100), budgeter.New(0.1, 10))
+	return New(DefaultOptions(), r, quarantiner.New(time.Minute, 100), attributor.New(time.Minute, 100), budgeter.New(0.1, 10))
 }
 
 // request returns a draft with the given ID and a fingerprint of its own.
@@ -149,7 +150,7 @@
 	r := router.New(policy, "a", rand.New(rand.NewPCG(1, 1)))
 	r.Set(endpoint.Endpoint{ID: "prefill-1", Model: "m", Role: endpoint.Prefill}, 100)
 	r.Set(endpoint.Endpoint{ID: "decode-1", Model: "m", Role: endpoint.Decode, Slots: 20}, 100)
-	d := New(DefaultOptions(), r, quarantiner.New(time.Minute, 100), budgeter.New(0.1, 10))
+	d := New(DefaultOptions(), r, quarantiner.New(time.Minute, 100), attributor.New(time.Minute, 100), budgeter.New(0.1, 10))
 	commands := d.Submit(Request{
 		ID: 1, Account: "a", Weight: 1, Model: "m", PromptTokens: 100, MaxOutputTokens: 10, FirstTokenDeadline: time.Second,
 	}, 0)
--- a/pkg/dispatcher/messages.go
+++ b/pkg/dispatcher/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 	"github.com/pistachiovane/pistachiovane/pkg/scheduler"
@@ -30,6 +31,9 @@
 	PrefixDigest uint64
 	// Fingerprint identifies the request in crash records.
 	Fingerprint quarantiner.Fingerprint
+	// Features and PrefillFeatures hold what the decode and the prefill of the request share with those of others, such as
+	// parts of the prompt.
+	Features, PrefillFeatures []attributor.Feature
 	// FirstTokenDeadline is the latest time at which the first token is useful, on the same clock as the now parameters
 	// of a Dispatcher; zero means no deadline.
 	FirstTokenDeadline time.Duration
--- a/pkg/dispatcher/queue.go
+++ b/pkg/dispatcher/queue.go
@@ -17,7 +17,7 @@
 		if j.queueClass == scheduler.Draft && now-j.submittedAt > d.options.DraftPromotionDelay {
 			overdueDrafts = append(overdueDrafts, j)
 		}
-		if d.missesDeadline(j, now) || d.quarantiner.IsRefused(j.Fingerprint, now) {
+		if d.missesDeadline(j, now) || d.crashesEndpoints(j, now) {
 			failing = append(failing, j)
 		}
 	})
@@ -25,7 +25,7 @@
 	for _, j := range failing {
 		d.queue.Remove(j.queueClass, j.Account, j.ID)
 		reason := ReasonDeadline
-		if d.quarantiner.IsRefused(j.Fingerprint, now) {
+		if d.crashesEndpoints(j, now) {
 			reason = ReasonCrashesEndpoints
 		}
 		d.failRequest(j, reason)
--- a/pkg/tokenizer/tokenizer.go
+++ b/pkg/tokenizer/tokenizer.go
@@ -1,7 +1,11 @@
 // Package tokenizer estimates the token counts of texts and computes digests of prompts and request bodies.
 package tokenizer
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// bytesPerToken is the assumed mean length of a token.
@@ -33,3 +37,22 @@
 	_, _ = d.WriteString(body)
 	return d.Sum64()
 }
+
+// Parts returns the parts of a prompt that other prompts may share: its lines but the last one, without empty ones and those
+// that it repeats, at most limit.
+func Parts(prompt string, limit int) []string {
+	var out []string
+	seen := map[string]bool{}
+	for len(out) < limit {
+		line, rest, found := strings.Cut(prompt, "\n")
+		if !found {
+			break
+		}
+		prompt = rest
+		if line = strings.TrimSpace(line); line != "" && !seen[line] {
+			seen[line] = true
+			out = append(out, line)
+		}
+	}
+	return out
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -204,11 +204,15 @@
 	return client.New(b.node(a, a.option("gateway", "gw-1")).CallerURL, key, b.http)
 }
 
-// cmdSend sends a generation request in the background: send NAME prompt=P pad=N most=N draft=yes model=M. Without a
-// prompt, the name is the prompt; pad adds N characters to it. The word "poison" in the prompt is replaced by
-// engine.CrashMarker, which crashes engines. most is the limit of output tokens.
+// cmdSend sends a generation request in the background: send NAME prompt=P part=P pad=N most=N draft=yes model=M. Without a
+// prompt, the name is the prompt; pad adds N characters to it, and part puts a common line and a line of its own before it. The
+// word "poison" in the prompt is replaced by engine.CrashMarker, which crashes engines. most is the limit of output tokens.
 func (b *testbed) cmdSend(a args) {
-	prompt := strings.ReplaceAll(a.option("prompt", a.word(0)), "poison", engine.CrashMarker)
+	prompt := a.option("prompt", a.word(0))
+	if part := a.option("part", ""); part != "" {
+		prompt = "the same for all\n" + part + "\n" + prompt
+	}
+	prompt = strings.ReplaceAll(prompt, "poison", engine.CrashMarker)
 	s := &sentRequest{
 		prompt: prompt + strings.Repeat(".", a.intOption("pad", 0)), maxOutputTokens: a.intOption("most", 40),
 		done: make(chan struct{}),
--- a/service/fleet/messages.go
+++ b/service/fleet/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/limits/crashencoder"
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 )
 
@@ -202,6 +203,8 @@
 	Share ShareMessage `json:"share"`
 	// CrashRecords lists requests that crashed endpoints.
 	CrashRecords []CrashRecord `json:"blames,omitempty"`
+	// Parts says which parts of prompts may crash endpoints.
+	Parts crashencoder.Reports `json:"parts,omitzero"`
 }
 
 // ShareMessage is an allocator.Message in its wire form: a query or a reply about the shares of account limits.
