Drawn exchanges: parts of prompts that crash endpoints

One of 20 draws has requests that share a part, at any place but the last, at both gateways, alone or three at a time; endpoints crash under it in any framing and come back in any way.

--- a/cmd/pistachiovane/cmds/edge_exchange_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_exchange_env_test.go
@@ -35,8 +35,11 @@
 	// scripts holds what is still to be done with requests, by ID.
 	scripts map[string]*drawer.Request
 	played  []reader.Played
-	// crasher is the request that crashes endpoints while it is repeated, or nil.
-	crasher *drawer.Crasher
+	// crasher is the request that crashes endpoints while it is repeated, or nil. part is what endpoints do with runs of the
+	// requests whose IDs are in withPart.
+	crasher  *drawer.Crasher
+	part     scripter.Exchange
+	withPart map[string]bool
 	// spent holds the IDs of endpoints that crashed or said that they leave.
 	spent map[string]bool
 }
@@ -146,6 +149,9 @@
 	if env.crasher != nil && env.crasher.Prefill == (e.Stage == "prefill") {
 		x = env.crasher.Exchange
 	}
+	if env.withPart[requestID] && e.Stage == "decode" {
+		x = env.part
+	}
 	if script := env.scripts[requestID]; script != nil {
 		list := &script.Runs
 		if e.Stage == "prefill" {
--- a/cmd/pistachiovane/cmds/edge_exchanges_test.go
+++ b/cmd/pistachiovane/cmds/edge_exchanges_test.go
@@ -35,15 +35,26 @@
 
 // caller is a caller that keeps its connection.
 type caller struct {
+	// gateway is the one that it connects to. Nil means the one in use.
+	gateway *testGateway
 	conn   net.Conn
 	reader *bufio.Reader
 }
 
 // exchange sends a request of a route with a body and returns what the caller got. The connection is kept if it can be.
 func (env *exchangeEnv) exchange(c *caller, id, body string, route drawer.Route) (reader.Request, error) {
+	return env.exchangePrompt(c, id, body, "own"+id+":100", route)
+}
+
+// exchangePrompt is exchange for a request whose prompt has the given parts.
+func (env *exchangeEnv) exchangePrompt(c *caller, id, body, parts string, route drawer.Route) (reader.Request, error) {
 	q := reader.Request{ID: id, Stream: route >= drawer.Draft, Events: 5, Once: route == drawer.Book || route == drawer.Note}
 	if c.conn == nil {
-		conn, err := net.Dial("tcp", env.server.Listener.Addr().String())
+		g := c.gateway
+		if g == nil {
+			g = env.testGateway
+		}
+		conn, err := net.Dial("tcp", g.server.Listener.Addr().String())
 		if err != nil {
 			return q, err
 		}
@@ -55,7 +66,8 @@
 	}
 	generation := ""
 	if q.Stream {
-		generation = "X-Pistachiovane-Token-Counts: 100,100\r\nX-Pistachiovane-Model: m\r\n"
+		generation = "X-Pistachiovane-Token-Counts: 100,100\r\nX-Pistachiovane-Model: m\r\n" +
+			"X-Pistachiovane-Prompt-Prefix: " + parts + "\r\n"
 	}
 	_, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Pistachiovane-Attempt-Id: %s\r\nX-Pistachiovane-Credential: key\r\n"+
 		"X-Pistachiovane-Time-Budget-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
@@ -194,6 +206,11 @@
 			env.refill()
 			findings = append(findings, env.crash(*d.Crasher)...)
 		}
+		if d.Part != nil {
+			env.refill()
+			findings = append(findings, env.crashByPart(*d.Part)...)
+			env.refill()
+		}
 		for route := range paths {
 			if finding := env.serveInnocent(route); finding != "" {
 				findings = append(findings, finding)
--- a/internal/peer/drawer/drawer.go
+++ b/internal/peer/drawer/drawer.go
@@ -17,6 +17,8 @@
 	maxAttempts = 4
 	// One of drawsPerCrasher draws has a request that crashes endpoints.
 	drawsPerCrasher = 6
+	// One of drawsPerPart draws has requests that share a part which crashes endpoints.
+	drawsPerPart = 20
 	// maxCutBytes is longer than the answers of the stand-ins.
 	maxCutBytes = 600
 )
@@ -62,10 +64,23 @@
 	Pause time.Duration
 }
 
-// Draw is a sequence of requests, and a request that crashes endpoints, or nil.
+// Part is a part of prompts that crashes each endpoint that writes an answer on it. Requests with it are no two alike.
+type Part struct {
+	// Route is that of a generation.
+	Route Route
+	// Position is how many parts come before it, Behind how many come behind it before the last one.
+	Position, Behind int
+	// Exchange is what each endpoint does with these requests. Its cut is a crash.
+	Exchange scripter.Exchange
+	// AtOnce is how many requests come at a time.
+	AtOnce int
+}
+
+// Draw is a sequence of requests, and a request or a part that crashes endpoints, or nil.
 type Draw struct {
 	Requests []Request
 	Crasher  *Crasher
+	Part     *Part
 }
 
 // String returns the draw as it appears in reports of failures.
@@ -77,6 +92,9 @@
 	if d.Crasher != nil {
 		out += fmt.Sprintf("crasher %+v", *d.Crasher)
 	}
+	if d.Part != nil {
+		out += fmt.Sprintf("part %+v", *d.Part)
+	}
 	return out
 }
 
@@ -88,6 +106,10 @@
 			c := crashers().Draw(t, "crasher")
 			d.Crasher = &c
 		}
+		if rapid.IntRange(0, drawsPerPart-1).Draw(t, "part") == drawsPerPart-1 {
+			p := parts().Draw(t, "part")
+			d.Part = &p
+		}
 		return d
 	})
 }
@@ -98,18 +120,34 @@
 		c := Crasher{
 			Route: Route(rapid.IntRange(0, int(routes)-1).Draw(t, "route")),
 			Times: rapid.IntRange(3, 8).Draw(t, "times"), Gateways: rapid.IntRange(1, 2).Draw(t, "gateways"), Pause: rapid.SampledFrom(pauses()).Draw(t, "pause"),
-			Exchange: scripter.Exchange{
-				Cut: scripter.Crash, CutAfter: rapid.IntRange(0, maxCutBytes).Draw(t, "cut after"),
-				Framing:   scripter.Framing(rapid.IntRange(0, int(scripter.Unframed)).Draw(t, "framing")),
-				Successor: axis[scripter.Successor](t, "successor", scripter.AllSizes().Successors, 0),
-				BackAfter: rapid.SampledFrom(backTimes()).Draw(t, "back after"),
-			},
+			Exchange: crash(t),
 		}
 		c.Prefill = c.Route >= Draft && rapid.Bool().Draw(t, "prefill")
 		return c
 	})
 }
 
+// parts returns a generator of parts that crash endpoints.
+func parts() *rapid.Generator[Part] {
+	return rapid.Custom(func(t *rapid.T) Part {
+		return Part{
+			Route:    Route(rapid.IntRange(int(Draft), int(Note)).Draw(t, "route")),
+			Position: rapid.IntRange(0, 2).Draw(t, "position"), Behind: rapid.IntRange(0, 3).Draw(t, "behind"),
+			Exchange: crash(t), AtOnce: rapid.IntRange(1, 3).Draw(t, "at once"),
+		}
+	})
+}
+
+// crash draws an exchange in which the endpoint crashes.
+func crash(t *rapid.T) scripter.Exchange {
+	return scripter.Exchange{
+		Cut: scripter.Crash, CutAfter: rapid.IntRange(0, maxCutBytes).Draw(t, "cut after"),
+		Framing:   scripter.Framing(rapid.IntRange(0, int(scripter.Unframed)).Draw(t, "framing")),
+		Successor: axis[scripter.Successor](t, "successor", scripter.AllSizes().Successors, 0),
+		BackAfter: rapid.SampledFrom(backTimes()).Draw(t, "back after"),
+	}
+}
+
 // pauses returns the times between two repetitions of a request.
 func pauses() []time.Duration {
 	return []time.Duration{0, 5 * time.Millisecond, 30 * time.Millisecond}
