--- a/cmd/pistachiovane/cmds/edge_exchanges_test.go
+++ b/cmd/pistachiovane/cmds/edge_exchanges_test.go
@@ -37,8 +37,8 @@
 type caller struct {
 	// gateway is the one that it connects to. Nil means the one in use.
 	gateway *testGateway
-	conn   net.Conn
-	reader *bufio.Reader
+	conn    net.Conn
+	reader  *bufio.Reader
 }
 
 // exchange sends a request of a route with a body and returns what the caller got. The connection is kept if it can be.
