What a part explains no longer counts against the requests beside it

Whole requests and parts were judged apart. Crashes that a blamed part explains now count against no request, also those that counted before, on both faces; and of two features at the same crashes only those with enough of them in sequence are blamed together. TestRequestBesideCrashingPartStaysRefused fails without it.

--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -232,8 +232,22 @@
 	}
 }
 
+// explain takes the crashes that a part of prompts explains from the requests that were running there.
+func (t *CrashTracker) explain(now time.Duration) {
+	crashes, changed := t.parts.Explained(now)
+	if !changed {
+		return
+	}
+	explained := make([]quarantiner.ExplainedCrash, 0, len(crashes))
+	for _, c := range crashes {
+		explained = append(explained, quarantiner.ExplainedCrash(c))
+	}
+	t.quarantine.SetExplained(explained)
+}
+
 // HasCrashed returns whether any crash counts against a request.
 func (t *CrashTracker) HasCrashed(f quarantiner.Fingerprint, now time.Duration) bool {
+	t.explain(now)
 	return t.quarantine.IsSuspect(f, now)
 }
 
@@ -244,11 +258,13 @@
 
 // MustRefuse returns whether a request must not be sent again because it crashes endpoints.
 func (t *CrashTracker) MustRefuse(f quarantiner.Fingerprint, now time.Duration) bool {
+	t.explain(now)
 	return t.quarantine.IsRefused(f, now)
 }
 
 // RefusedRequests returns the requests that must not be sent.
 func (t *CrashTracker) RefusedRequests(now time.Duration) []quarantiner.Fingerprint {
+	t.explain(now)
 	return t.quarantine.RefusedRequests(now)
 }
 
--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -1,12 +1,14 @@
 package crashtracker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashtracker"
+	"github.com/pistachiovane/pistachiovane/pkg/quarantiner"
 )
 
 // poison and innocent are the fingerprints of a request that crashes endpoints and of one that does not.
@@ -288,3 +290,29 @@
 		t.Errorf("got %+v for a run after three crashes, want a refusal", v)
 	}
 }
+
+// A request that many callers send ran beside one after the other of the requests with a part that crashes endpoints, and was
+// refused with them for a day (soak, seeds 8 and 52 under load).
+func TestRequestBesideCrashingPartStaysRefused(t *testing.T) {
+	const part, sound = "bad", "good"
+	tracker := crashtracker.New(time.Hour, 100)
+	crash := func(n int) time.Duration {
+		endpoint, at := fmt.Sprint("e", n), time.Duration(n)*time.Second
+		w := crashtracker.Work{Run: quarantiner.Fingerprint(100 + n)}.WithParts([]string{part, "own"}, false) //nolint:gosec // not negative
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: w.Run, Parts: w.Parts, StartedAt: at}, at+time.Millisecond)
+		other := crashtracker.Work{Run: innocent}.WithParts([]string{sound, "own"}, false)
+		tracker.RecordBrokenConnection(endpoint, crashtracker.Run{Fingerprint: innocent, Parts: other.Parts, StartedAt: 0}, at+time.Millisecond)
+		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, at+time.Millisecond)
+		return at + time.Millisecond
+	}
+	var now time.Duration
+	for n := range 10 {
+		now = crash(n)
+	}
+	if len(tracker.BlamedParts(now)) != 1 {
+		t.Fatalf("got blamed parts %v, want one", tracker.BlamedParts(now))
+	}
+	if tracker.MustRefuse(innocent, now) {
+		t.Error("got a refusal of the request beside the crashing part, want none: the part explains its crashes")
+	}
+}
--- a/internal/limits/crashtracker/work.go
+++ b/internal/limits/crashtracker/work.go
@@ -51,6 +51,7 @@
 
 // Decide returns whether a request may be sent to an endpoint.
 func (t *CrashTracker) Decide(f quarantiner.Fingerprint, now time.Duration) quarantiner.Verdict {
+	t.explain(now)
 	v := t.quarantine.Decide(f, now)
 	if !v.Refused {
 		v.RetryAfter = max(v.RetryAfter, t.openSuspicionRest(f, now))
--- a/pkg/attributor/attributor.go
+++ b/pkg/attributor/attributor.go
@@ -73,6 +73,8 @@
 	// being blamed since the last call of TakeChanges.
 	outdated bool
 	changes  []Change
+	// explainedChanged is set if the blamed features were computed again since the last call of Explained.
+	explainedChanged bool
 	// seed makes the processes try blamed features at different times.
 	seed uint64
 }
--- a/pkg/attributor/evaluation.go
+++ b/pkg/attributor/evaluation.go
@@ -38,6 +38,27 @@
 	Share   float64
 }
 
+// Crash is a crash of an endpoint that a blamed feature explains.
+type Crash struct {
+	Endpoint string
+	At       time.Duration
+}
+
+// Explained returns the crashes that blamed features explain. changed is set if they may differ from those of the last call.
+func (a *Attributor) Explained(now time.Duration) (crashes []Crash, changed bool) {
+	a.evaluate(now)
+	changed, a.explainedChanged = a.explainedChanged, false
+	if !changed {
+		return nil, false
+	}
+	for _, r := range a.runs {
+		if slices.ContainsFunc(r.features, func(f Feature) bool { return a.isBlamed(f) && a.features[f].countsAt(r.crashedAt) }) {
+			crashes = append(crashes, Crash{Endpoint: r.endpoint, At: r.crashedAt})
+		}
+	}
+	return crashes, true
+}
+
 // TakeChanges returns the changes since its last call.
 func (a *Attributor) TakeChanges(now time.Duration) []Change {
 	a.evaluate(now)
@@ -112,7 +133,7 @@
 	if !a.outdated {
 		return
 	}
-	a.outdated = false
+	a.outdated, a.explainedChanged = false, true
 	open := a.explanations(now)
 	a.keepBlamed(open)
 	for {
@@ -200,7 +221,7 @@
 func (a *Attributor) blame(best *explanation, open map[Feature]*explanation, now time.Duration) {
 	tied := []Feature{best.feature}
 	for f, e := range open {
-		if f != best.feature && e.ties(best) {
+		if f != best.feature && e.isSufficient() && e.ties(best) {
 			tied = append(tied, f)
 		}
 	}
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -72,12 +72,20 @@
 	return endpoints, age
 }
 
+// ExplainedCrash is a crash of an endpoint at the time At that something else than the requests running there explains.
+type ExplainedCrash struct {
+	Endpoint string
+	At       time.Duration
+}
+
 // Quarantiner stores crash records for a limited time. It is not safe for concurrent use. Its times are durations since
 // any fixed start.
 type Quarantiner struct {
 	retention  time.Duration
 	maxRecords int
 	records    map[Fingerprint]*record
+	// explained holds the crashes that count against no request.
+	explained []ExplainedCrash
 	// evaluation is what the records say. It is nil if they have changed since, and valid until evaluationExpiresAt.
 	evaluation          *evaluation
 	evaluationExpiresAt time.Duration
@@ -133,6 +141,11 @@
 	}
 }
 
+// SetExplained replaces the crashes that count against no request, because something else explains them.
+func (q *Quarantiner) SetExplained(crashes []ExplainedCrash) {
+	q.explained, q.evaluation = crashes, nil
+}
+
 // announce makes NextCrashRecords return a record because of a change.
 func (q *Quarantiner) announce(f Fingerprint, r *record) {
 	if r.unsent == 0 {
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -34,7 +34,8 @@
 	suspects map[Fingerprint][]Fingerprint
 }
 
-// IsSuspect returns whether the request was running at any endpoint that crashed, and has not completed since.
+// IsSuspect returns whether the request was running at any endpoint that crashed, unless that is explained, and has not
+// completed since.
 func (q *Quarantiner) IsSuspect(f Fingerprint, now time.Duration) bool {
 	return q.CrashCount(f, now) > 0
 }
@@ -47,7 +48,7 @@
 	}
 	n := 0
 	for _, c := range r.crashes {
-		if !c.cleared {
+		if !c.cleared && !q.isExplained(c) {
 			n++
 		}
 	}
@@ -162,7 +163,7 @@
 		if i > 0 && (entries[i-1].endpoint != e.endpoint || e.at-entries[i-1].at >= sameCrashInterval) {
 			number++
 		}
-		if !e.cleared && !slices.Contains(open[e.fingerprint], number) {
+		if !e.cleared && !q.isExplained(e.crash) && !slices.Contains(open[e.fingerprint], number) {
 			open[e.fingerprint] = append(open[e.fingerprint], number)
 			present[number] = append(present[number], e.fingerprint)
 		}
@@ -170,6 +171,13 @@
 	return open, present
 }
 
+// isExplained reports whether something else than the requests explains a crash.
+func (q *Quarantiner) isExplained(c crash) bool {
+	return slices.ContainsFunc(q.explained, func(x ExplainedCrash) bool {
+		return x.Endpoint == c.endpoint && (x.At-c.at).Abs() < sameCrashInterval
+	})
+}
+
 // findCauses returns the requests that are to be refused now: those with the most crashes, if that are maxCrashes or
 // more, else those with sufficientCrashes at which no other request was running.
 func findCauses(open map[Fingerprint][]int, present map[int][]Fingerprint) []Fingerprint {
