--- a/pkg/attributor/attributor_test.go
+++ b/pkg/attributor/attributor_test.go
@@ -129,6 +129,43 @@
 	}
 }
 
+// serve records completed runs with the features in the second before a time.
+func serve(a *attributor.Attributor, n int, now time.Duration, features ...attributor.Feature) {
+	for range n {
+		a.RecordServed(features, now-time.Second, now)
+	}
+}
+
+// Endpoints that fail by themselves break runs with a part that all requests have as one that crashes them would. It must not be
+// blamed as soon as a part that hardly any request has.
+func TestCommonFeatureIsBlamedAsSoonAsRareOne(t *testing.T) {
+	for _, f := range []attributor.Feature{common, guilty} {
+		a := attributor.New(retention, maxRuns)
+		serve(a, 20, time.Second, common)
+		for i := range 5 {
+			crashAt(a, time.Duration(i+2)*time.Second, f)
+		}
+		if got, want := isRefused(a, 7*time.Second, f), f == guilty; got != want {
+			t.Errorf("feature %v: got a refusal %v after five crashes, want %v", f, got, want)
+		}
+	}
+}
+
+// A part that many requests have is at each crash of a rarer one, and at others. The rarer one is the cause.
+func TestMoreFrequentFeatureIsBlamed(t *testing.T) {
+	a := attributor.New(retention, maxRuns)
+	serve(a, 6, time.Second, common)
+	serve(a, 14, time.Second, paired)
+	for i := range 8 {
+		crashAt(a, time.Duration(i+2)*time.Second, common, guilty)
+	}
+	crashAt(a, 10*time.Second, common)
+	now := 11 * time.Second
+	if isRefused(a, now, common) || !isRefused(a, now, guilty) {
+		t.Error("got another verdict than a refusal of the rarer part alone")
+	}
+}
+
 // Two parts that come together explain the same crashes. A request with one of them is tried soon, which tells them apart.
 func TestFeaturesThatTieAreNotToldApart(t *testing.T) {
 	a := newBlaming(guilty, paired)
