Shares are those of runs of one kind; repetitions of a request count once

A stream that was resumed beside a request that crashes endpoints had followed it over four endpoints, and its part was blamed; only crashes under different requests count in sequence now. Features have a kind now, and shares are those of its runs.

Change queues and recent periods, which stood three times each, are packages of their own (announcer, rotator); the coordinator's crash records have a file. TestCrashesUnderRepeatedRequestAddUp and TestCompletedPrefillsMakeCommonPartRare failed before.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -21,18 +21,7 @@
 	"github.com/pistachiovane/pistachiovane/service/supervision"
 )
 
-// The kinds of features that are the parts of prompts.
 const (
-	runPartKind     = "part"
-	prefillPartKind = "prefilled part"
-)
-
-const (
-	// crashRecordsPerMessage is how many crash records a message to a peer contains, in turn. A message goes to one peer,
-	// which passes its content on, so changes have no precedence.
-	crashRecordsPerMessage = 256
-	// partReportsPerMessage is the same for broken runs and what is known of the parts of their prompts.
-	partReportsPerMessage = 32
 	// tickInterval is the time between two checks of the queued requests.
 	tickInterval = 50 * time.Millisecond
 	// reserveTimeout is the longest wait for an agent's answer to a reservation.
@@ -131,10 +120,7 @@
 		PrefixDigest: tokenizer.PrefixDigest(req.Prompt),
 		Fingerprint:  quarantiner.Fingerprint(tokenizer.Digest(req.Account.Name, req.Prompt)),
 	}
-	for _, part := range tokenizer.Parts(req.Prompt, attributor.MaxFeaturesPerRun) {
-		r.Features = append(r.Features, attributor.NewFeature(runPartKind, part))
-		r.PrefillFeatures = append(r.PrefillFeatures, attributor.NewFeature(prefillPartKind, part))
-	}
+	addFeatures(&r, req.Prompt)
 	if !req.Draft {
 		g.priority = 0
 		r.Class = scheduler.Interactive
@@ -188,34 +174,6 @@
 	return len(c.generations)
 }
 
-// NextCrashRecords returns records of requests that crashed endpoints, in turn, to be sent to a peer.
-func (c *Coordinator) NextCrashRecords() []quarantiner.CrashRecord {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.quarantiner.NextCrashRecords(crashRecordsPerMessage, crashRecordsPerMessage, c.now())
-}
-
-// MergeCrashRecords adds the crash records received from a peer.
-func (c *Coordinator) MergeCrashRecords(records []quarantiner.CrashRecord) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.quarantiner.Merge(records, c.now())
-}
-
-// NextPartReports returns what a peer is told of the parts of prompts that may crash endpoints.
-func (c *Coordinator) NextPartReports() attributor.Reports {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.attributor.NextReports(partReportsPerMessage, partReportsPerMessage, c.now())
-}
-
-// MergePartReports adds what a peer told of the parts of prompts.
-func (c *Coordinator) MergePartReports(r attributor.Reports) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.attributor.Merge(r, c.now())
-}
-
 // QueueLengths returns the number of queued interactive requests and of queued drafts.
 func (c *Coordinator) QueueLengths() (interactive, drafts int) {
 	c.mu.Lock()
--- a/internal/limits/crashencoder/crashencoder.go
+++ b/internal/limits/crashencoder/crashencoder.go
@@ -26,8 +26,9 @@
 
 // BrokenRun is a run that broke when its endpoint crashed, with what it shares with others.
 type BrokenRun struct {
-	// ID tells it from all other runs.
+	// ID tells it from all other runs. Request is a digest of the request; repetitions of a request have the same.
 	ID       uint64 `json:"i"`
+	Request  uint32 `json:"r,omitempty"`
 	Endpoint string `json:"e"`
 	// AgeMs is the time since the crash in ms, and DurationMs the time from the start of the run to the crash.
 	AgeMs      int64 `json:"a"`
@@ -48,7 +49,9 @@
 func Encode(r attributor.Reports) Reports {
 	var out Reports
 	for _, b := range r.Runs {
-		w := BrokenRun{ID: b.ID, Endpoint: b.Endpoint, AgeMs: b.Age.Milliseconds(), DurationMs: b.Duration.Milliseconds()}
+		w := BrokenRun{
+			ID: b.ID, Request: b.Request, Endpoint: b.Endpoint, AgeMs: b.Age.Milliseconds(), DurationMs: b.Duration.Milliseconds(),
+		}
 		for _, f := range b.Features {
 			w.Parts = binary.LittleEndian.AppendUint64(w.Parts, uint64(f))
 		}
@@ -69,7 +72,7 @@
 			continue
 		}
 		b := attributor.Run{
-			ID: w.ID, Endpoint: w.Endpoint, Age: fromMillis(w.AgeMs) + transitTime, Duration: fromMillis(w.DurationMs),
+			ID: w.ID, Request: w.Request, Endpoint: w.Endpoint, Age: fromMillis(w.AgeMs) + transitTime, Duration: fromMillis(w.DurationMs),
 		}
 		for i := 0; i+bytesPerPart <= len(w.Parts); i += bytesPerPart {
 			b.Features = append(b.Features, attributor.Feature(binary.LittleEndian.Uint64(w.Parts[i:])))
--- a/internal/limits/crashencoder/crashencoder_test.go
+++ b/internal/limits/crashencoder/crashencoder_test.go
@@ -15,7 +15,7 @@
 func TestReportChangesOnTheWire(t *testing.T) {
 	want := attributor.Reports{
 		Runs: []attributor.Run{{
-			ID: math.MaxUint64, Endpoint: "e", Age: 1500 * time.Millisecond, Duration: 20 * time.Millisecond,
+			ID: math.MaxUint64, Request: 9, Endpoint: "e", Age: 1500 * time.Millisecond, Duration: 20 * time.Millisecond,
 			Features: []attributor.Feature{1, math.MaxUint64},
 		}},
 		Acquittals: []attributor.Acquittal{{Feature: 7, Age: time.Second}},
--- a/internal/limits/crashtracker/crashtracker.go
+++ b/internal/limits/crashtracker/crashtracker.go
@@ -8,7 +8,6 @@
 package crashtracker
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -62,8 +61,6 @@
 
 // suspect is a run whose connection to an endpoint broke.
 type suspect struct {
-	// id tells the run from all others.
-	id             uint64
 	fingerprint    quarantiner.Fingerprint
 	parts          []attributor.Feature
 	startedAt      time.Duration
@@ -139,8 +136,7 @@
 // against the request.
 func (t *CrashTracker) RecordBrokenConnection(endpoint string, r Run, now time.Duration) bool {
 	s := suspect{
-		id: rand.Uint64(), fingerprint: r.Fingerprint, parts: r.Parts, startedAt: r.StartedAt, //nolint:gosec // not a secret
-		disconnectedAt: now, served: t.served.contains(r.Fingerprint, now),
+		fingerprint: r.Fingerprint, parts: r.Parts, startedAt: r.StartedAt, disconnectedAt: now, served: t.served.contains(r.Fingerprint, now),
 	}
 	suspects := t.suspects[endpoint]
 	switch {
@@ -232,22 +228,9 @@
 	}
 }
 
-// explain takes the crashes that a part of prompts explains from the requests that were running there.
-func (t *CrashTracker) explain(now time.Duration) {
-	crashes, changed := t.parts.Explained(now)
-	if !changed {
-		return
-	}
-	explained := make([]quarantiner.ExplainedCrash, 0, len(crashes))
-	for _, c := range crashes {
-		explained = append(explained, quarantiner.ExplainedCrash(c))
-	}
-	t.quarantine.SetExplained(explained)
-}
-
 // HasCrashed returns whether any crash counts against a request.
 func (t *CrashTracker) HasCrashed(f quarantiner.Fingerprint, now time.Duration) bool {
-	t.explain(now)
+	t.quarantine.Exclude(t.parts, now)
 	return t.quarantine.IsSuspect(f, now)
 }
 
@@ -258,13 +241,13 @@
 
 // MustRefuse returns whether a request must not be sent again because it crashes endpoints.
 func (t *CrashTracker) MustRefuse(f quarantiner.Fingerprint, now time.Duration) bool {
-	t.explain(now)
+	t.quarantine.Exclude(t.parts, now)
 	return t.quarantine.IsRefused(f, now)
 }
 
 // RefusedRequests returns the requests that must not be sent.
 func (t *CrashTracker) RefusedRequests(now time.Duration) []quarantiner.Fingerprint {
-	t.explain(now)
+	t.quarantine.Exclude(t.parts, now)
 	return t.quarantine.RefusedRequests(now)
 }
 
@@ -335,7 +318,10 @@
 	suspects := t.suspects[endpoint]
 	delete(t.suspects, endpoint)
 	for _, s := range suspects {
-		t.parts.RecordCrash(s.id, endpoint, s.parts, s.startedAt, s.disconnectedAt, now)
+		t.parts.RecordCrash(attributor.Run{
+			Request: uint32(s.fingerprint), Endpoint: endpoint, Age: now - s.disconnectedAt, //nolint:gosec // a part of the digest
+			Duration: s.disconnectedAt - s.startedAt, Features: s.parts,
+		}, now)
 		if !s.served {
 			t.quarantine.RecordEarlierCrash(s.fingerprint, endpoint, s.disconnectedAt, now)
 		}
--- a/internal/limits/crashtracker/work.go
+++ b/internal/limits/crashtracker/work.go
@@ -32,8 +32,8 @@
 
 // The kinds of features that are the parts of prompts. Endpoints crash under a part when they run it or when they prefill it.
 const (
-	runPartKind     = "part"
-	prefillPartKind = "prefilled part"
+	runPartKind attributor.Kind = iota + 1
+	prefillPartKind
 )
 
 // WithParts returns the work with the parts of a prompt, by ID, in order. The last one belongs to the request itself. hasPrefill
@@ -51,7 +51,7 @@
 
 // Decide returns whether a request may be sent to an endpoint.
 func (t *CrashTracker) Decide(f quarantiner.Fingerprint, now time.Duration) quarantiner.Verdict {
-	t.explain(now)
+	t.quarantine.Exclude(t.parts, now)
 	v := t.quarantine.Decide(f, now)
 	if !v.Refused {
 		v.RetryAfter = max(v.RetryAfter, t.openSuspicionRest(f, now))
--- a/internal/routing/estimator/estimator.go
+++ b/internal/routing/estimator/estimator.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/rotator"
 )
 
 const (
@@ -21,10 +23,9 @@
 // Estimator holds the recent durations of requests by route. It is safe for concurrent use. Its times are durations since any
 // fixed start.
 type Estimator struct {
-	mu sync.Mutex
-	// current holds what was observed since rotatedAt, previous what was observed in the period before.
-	current, previous map[string]observed
-	rotatedAt         time.Duration
+	// mu guards periods.
+	mu      sync.Mutex
+	periods *rotator.Rotator[map[string]observed]
 }
 
 // observed is what was observed on one route in one period.
@@ -50,7 +51,7 @@
 
 // New returns an Estimator that knows nothing.
 func New() *Estimator {
-	return &Estimator{current: map[string]observed{}, previous: map[string]observed{}}
+	return &Estimator{periods: rotator.New(periodTime, func() map[string]observed { return map[string]observed{} })}
 }
 
 // RecordCall records that a call took a time.
@@ -106,27 +107,14 @@
 func (e *Estimator) record(route string, o observed, now time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rotate(now)
-	e.current[route] = e.current[route].with(o)
+	current, _ := e.periods.Periods(now)
+	current[route] = current[route].with(o)
 }
 
 // recent returns what was observed recently on a route.
 func (e *Estimator) recent(route string, now time.Duration) observed {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rotate(now)
-	return e.current[route].with(e.previous[route])
-}
-
-// rotate begins a new period if the current one is over. The lock must be held.
-func (e *Estimator) rotate(now time.Duration) {
-	switch elapsed := now - e.rotatedAt; {
-	case elapsed < periodTime:
-		return
-	case elapsed < 2*periodTime:
-		e.previous = e.current
-	default:
-		e.previous = map[string]observed{}
-	}
-	e.current, e.rotatedAt = map[string]observed{}, now
+	current, previous := e.periods.Periods(now)
+	return current[route].with(previous[route])
 }
--- a/pkg/attributor/attributor.go
+++ b/pkg/attributor/attributor.go
@@ -4,8 +4,8 @@
 // began. A feature is blamed, and requests with it are refused, once enough crashes followed each other that it explains
 // best:
 //
-//   - Crashes count one after another: the run at the next one must have begun after the crash before. Endpoints that fail at
-//     the same time count once.
+//   - Crashes count one after another: the run at the next one must have begun after the crash before, and be one of another
+//     request. Endpoints that fail at the same time count once, and so do those under one request that is repeated.
 //   - Of the features that could be blamed, the one that explains most crashes goes first; one that many requests have counts
 //     less. What a blamed feature explains counts against no other.
 //   - The more requests have a feature, the more crashes it needs, since endpoints that fail by themselves look the same.
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiovane/pistachiovane/pkg/announcer"
 )
 
 const (
@@ -36,17 +38,24 @@
 	deletedFraction = 8
 )
 
-// Feature is a digest of something that requests may share.
+// maxKinds is the number of kinds of features.
+const maxKinds = 16
+
+// Kind is a kind of features, below maxKinds. All features of a run are of one kind, and its share is that of the runs of this
+// kind.
+type Kind uint8
+
+// Feature is a digest of something that requests may share. Its last four bits are its kind.
 type Feature uint64
 
-// NewFeature returns the feature of a value, such as the ID of a part of a prompt. Values of different kinds have different
-// features.
-func NewFeature(kind, value string) Feature {
-	d := xxhash.New()
-	_, _ = d.WriteString(kind)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(value)
-	return Feature(d.Sum64())
+// NewFeature returns the feature of a value, such as the ID of a part of a prompt.
+func NewFeature(kind Kind, value string) Feature {
+	return Feature(xxhash.Sum64String(value)&^(maxKinds-1)) | Feature(kind%maxKinds)
+}
+
+// kind returns the kind of the feature.
+func (f Feature) kind() Kind {
+	return Kind(f % maxKinds)
 }
 
 // String returns the feature in hexadecimal.
@@ -63,10 +72,10 @@
 	runs     map[uint64]*run
 	features map[Feature]*state
 	history  *history
-	// changedRuns and changedFeatures hold what is to be sent to the peers because of a change, each once. They may also hold
-	// some that were deleted.
-	changedRuns     []uint64
-	changedFeatures []Feature
+	// changedRuns and changedFeatures hold what is to be sent to the peers because of a change. They may also hold some that were
+	// deleted.
+	changedRuns     *announcer.Announcer[uint64]
+	changedFeatures *announcer.Announcer[Feature]
 	// lastOther is the ID of the last run that NextReports returned in its turn.
 	lastOther uint64
 	// outdated is set if the blamed features must be computed again. changes collects those that became blamed or stopped
@@ -75,20 +84,22 @@
 	changes  []Change
 	// explainedChanged is set if the blamed features were computed again since the last call of Explained.
 	explainedChanged bool
-	// seed makes the processes try blamed features at different times.
-	seed uint64
+	// seed makes the processes try blamed features at different times, and their runs have different IDs. lastID counts the runs
+	// of this process.
+	seed   uint64
+	lastID uint64
 }
 
 // run is the stored form of a Run. Its times are on the clock of the process.
 type run struct {
 	id        uint64
+	request   uint32
 	endpoint  string
 	startedAt time.Duration
 	crashedAt time.Duration
 	features  []Feature
-	// own is set if the run broke at this process. unsent is how often it is still to be sent to the peers.
-	own    bool
-	unsent int
+	// own is set if the run broke at this process.
+	own bool
 }
 
 // isSameCrash reports whether a run broke in the same crash as an earlier one.
@@ -102,10 +113,9 @@
 	// runs counts the stored runs with the feature.
 	runs int
 	// servedStartedAt is the latest start of a run with the feature that completed, and served is set if there was one. Crashes
-	// before that start do not count. unsent is how often this is still to be sent to the peers.
+	// before that start do not count.
 	servedStartedAt time.Duration
 	served          bool
-	unsent          int
 	// blamed is set if requests with the feature are refused. tied holds the features that explained the same crashes as well.
 	blamed bool
 	tied   []Feature
@@ -131,18 +141,21 @@
 func New(retention time.Duration, maxRuns int) *Attributor {
 	return &Attributor{
 		retention: retention, maxRuns: maxRuns, runs: map[uint64]*run{}, features: map[Feature]*state{}, history: newHistory(),
-		seed: rand.Uint64(), //nolint:gosec // only spreads the trials of several processes
+		changedRuns: announcer.New[uint64](sendsPerChange), changedFeatures: announcer.New[Feature](sendsPerChange),
+		seed: rand.Uint64(), //nolint:gosec // not a secret
 	}
 }
 
-// RecordCrash records that a run of a request with the given features, which began at startedAt, broke when its endpoint
-// crashed at crashedAt. The ID tells it from all other runs.
-func (a *Attributor) RecordCrash(
-	id uint64, endpoint string, features []Feature, startedAt, crashedAt, now time.Duration,
-) {
-	r := &run{id: id, endpoint: endpoint, features: a.selectFeatures(features, now), startedAt: startedAt, crashedAt: crashedAt, own: true}
-	if len(r.features) > 0 && a.add(r, now) {
-		a.announceRun(r)
+// RecordCrash records that a run of this process broke because its endpoint crashed. The ID of the run is set by the
+// Attributor.
+func (a *Attributor) RecordCrash(r Run, now time.Duration) {
+	a.lastID++
+	r.ID = a.seed + a.lastID
+	r.Features = a.selectFeatures(r.Features, now)
+	stored := r.stored(now)
+	stored.own = true
+	if len(r.Features) > 0 && a.add(stored, now) {
+		a.changedRuns.Announce(r.ID)
 	}
 }
 
@@ -183,7 +196,7 @@
 	s.served, s.servedStartedAt = true, startedAt
 	if changed {
 		a.outdated = true
-		a.announceFeature(f, s)
+		a.changedFeatures.Announce(f)
 	}
 }
 
--- a/pkg/attributor/attributor_test.go
+++ b/pkg/attributor/attributor_test.go
@@ -12,9 +12,9 @@
 	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 )
 
-// guilty is the feature that crashes endpoints; common is one that other requests have too.
+// guilty is the feature that crashes endpoints; common is one that other requests have too. All are of one kind.
 const (
-	guilty attributor.Feature = iota + 1
+	guilty attributor.Feature = 0x10 * (iota + 1)
 	common
 	paired
 )
@@ -24,13 +24,20 @@
 	maxRuns   = 512
 )
 
-// lastRunID makes the IDs of broken runs different.
-var lastRunID uint64
+// lastRequest makes the requests of broken runs different.
+var lastRequest uint32
+
+// breakAt records that a run of a new request with the features broke at an endpoint that crashed at the given time.
+func breakAt(
+	a *attributor.Attributor, endpoint string, startedAt, at time.Duration, features ...attributor.Feature,
+) {
+	lastRequest++
+	a.RecordCrash(attributor.Run{Request: lastRequest, Endpoint: endpoint, Duration: at - startedAt, Features: features}, at)
+}
 
 // crashAt records that a run with the features, which began 100 ms before, crashed an endpoint of its own.
 func crashAt(a *attributor.Attributor, at time.Duration, features ...attributor.Feature) {
-	lastRunID++
-	a.RecordCrash(lastRunID, fmt.Sprint("e", lastRunID), features, at-100*time.Millisecond, at, at)
+	breakAt(a, fmt.Sprint("e", lastRequest), at-100*time.Millisecond, at, features...)
 }
 
 // newBlaming returns an Attributor that blames the features after a crash in each of the first eight seconds.
@@ -85,12 +92,26 @@
 	}
 }
 
+// A stream that is resumed beside one that crashes endpoints follows it from one to the next. That says no more of its parts than
+// a single crash (soak, seed 9100: a sound part was blamed).
+func TestCrashesUnderRepeatedRequestAddUp(t *testing.T) {
+	a := attributor.New(retention, maxRuns)
+	for i := range 10 {
+		at := time.Duration(i+1) * time.Second
+		a.RecordCrash(attributor.Run{
+			Request: 1, Endpoint: fmt.Sprint("e", i), Duration: time.Millisecond, Features: []attributor.Feature{guilty},
+		}, at)
+	}
+	if isRefused(a, 10*time.Second, guilty) {
+		t.Error("got a refusal because of one request, want none")
+	}
+}
+
 // Endpoints of a failure domain crash together. That must count once.
 func TestCrashesAtTheSameTimeAddUp(t *testing.T) {
 	a := attributor.New(retention, maxRuns)
 	for i := range 20 {
-		lastRunID++
-		a.RecordCrash(lastRunID, fmt.Sprint("e", i), []attributor.Feature{guilty}, 0, time.Second, time.Second)
+		breakAt(a, fmt.Sprint("e", i), 0, time.Second, guilty)
 	}
 	if isRefused(a, time.Second, guilty) {
 		t.Error("got a refusal after crashes at the same time, want none")
@@ -103,9 +124,8 @@
 	a := attributor.New(retention, maxRuns)
 	crash := func(i int, guiltyStartedAt time.Duration) {
 		at := time.Duration(i) * time.Second
-		lastRunID += 2
-		a.RecordCrash(lastRunID, fmt.Sprint("e", i), []attributor.Feature{common}, at-100*time.Millisecond, at, at)
-		a.RecordCrash(lastRunID+1, fmt.Sprint("e", i), []attributor.Feature{common, guilty}, guiltyStartedAt, at, at)
+		breakAt(a, fmt.Sprint("e", i), at-100*time.Millisecond, at, common)
+		breakAt(a, fmt.Sprint("e", i), guiltyStartedAt, at, common, guilty)
 	}
 	for i := range 8 {
 		// Half of the runs with the guilty part began before the crash before.
@@ -166,6 +186,19 @@
 	}
 }
 
+// Prefills complete whatever their prompts hold, and far more often than runs in a series of crashes. They must not make a part
+// that all runs have look as if hardly any had it.
+func TestCompletedPrefillsMakeCommonPartRare(t *testing.T) {
+	a := attributor.New(retention, maxRuns)
+	serve(a, 50, time.Second, common+1)
+	for i := range 6 {
+		crashAt(a, time.Duration(i+2)*time.Second, common)
+	}
+	if isRefused(a, 8*time.Second, common) {
+		t.Error("got a refusal after six crashes of runs that all have the part, want none")
+	}
+}
+
 // Two parts that come together explain the same crashes. A request with one of them is tried soon, which tells them apart.
 func TestFeaturesThatTieAreNotToldApart(t *testing.T) {
 	a := newBlaming(guilty, paired)
@@ -250,11 +283,11 @@
 // suspicion, and memory must stay bounded.
 func TestInventedFeaturesPushOutOthers(t *testing.T) {
 	a := newBlaming(guilty)
-	invented := attributor.Feature(1000)
+	invented := attributor.Feature(0x1000)
 	flood := func() []attributor.Feature {
 		var out []attributor.Feature
 		for range 100 {
-			invented++
+			invented += 0x10
 			out = append(out, invented)
 		}
 		return out
@@ -296,14 +329,14 @@
 		for i := range rapid.IntRange(1, 40).Draw(t, "reports") {
 			at := time.Duration(rng.IntN(50)) * time.Second
 			if rng.IntN(4) == 0 {
-				f := attributor.Feature(rng.IntN(4) + 1) //nolint:gosec // not negative
+				f := attributor.Feature(0x10 * (rng.IntN(4) + 1)) //nolint:gosec // not negative
 				reports = append(reports, attributor.Reports{Acquittals: []attributor.Acquittal{{Feature: f, Age: now - at}}})
 				continue
 			}
 			reports = append(reports, attributor.Reports{Runs: []attributor.Run{{
-				ID: uint64(i), Endpoint: fmt.Sprint(rng.IntN(6)), Age: now - at, //nolint:gosec // not negative
+				ID: uint64(i), Request: uint32(i), Endpoint: fmt.Sprint(rng.IntN(6)), Age: now - at, //nolint:gosec // not negative
 				Duration: time.Duration(rng.IntN(2000)) * time.Millisecond,
-				Features: []attributor.Feature{attributor.Feature(rng.IntN(2) + 1), attributor.Feature(rng.IntN(2) + 3)}, //nolint:gosec // not negative
+				Features: []attributor.Feature{attributor.Feature(0x10 * (rng.IntN(2) + 1)), attributor.Feature(0x10 * (rng.IntN(2) + 3))}, //nolint:gosec // not negative
 			}}})
 		}
 		merge := func() []attributor.Feature {
@@ -324,14 +357,16 @@
 
 func ExampleAttributor() {
 	a := attributor.New(time.Hour, 512)
-	part := attributor.NewFeature("part", "5c1e07a2")
+	part := attributor.NewFeature(1, "5c1e07a2")
 	for i := range 8 {
-		at := time.Duration(i) * time.Second
-		other := attributor.NewFeature("part", fmt.Sprint("of request ", i))
-		a.RecordCrash(uint64(i), fmt.Sprint("endpoint ", i), []attributor.Feature{part, other}, at, at+time.Millisecond, at) //nolint:gosec // not negative
+		at := time.Duration(i) * 2 * time.Second
+		other := attributor.NewFeature(1, fmt.Sprint("of request ", i))
+		a.RecordCrash(attributor.Run{
+			Request: uint32(i), Endpoint: fmt.Sprint("endpoint ", i), Duration: time.Second, Features: []attributor.Feature{part, other}, //nolint:gosec // not negative
+		}, at)
 	}
 	fmt.Println(a.Decide([]attributor.Feature{part}, 10*time.Second).Refused)
-	fmt.Println(a.Decide([]attributor.Feature{attributor.NewFeature("part", "of request 1")}, 10*time.Second).Refused)
+	fmt.Println(a.Decide([]attributor.Feature{attributor.NewFeature(1, "of request 1")}, 10*time.Second).Refused)
 	// Output:
 	// true
 	// false
--- a/pkg/attributor/evaluation.go
+++ b/pkg/attributor/evaluation.go
@@ -72,9 +72,22 @@
 	// number tells the crashes apart.
 	number int
 	at     time.Duration
-	// startedAt is the latest start of the broken runs with the feature, and own is set if one of them was of this process.
-	startedAt time.Duration
-	own       bool
+	// runs holds the broken runs with the feature.
+	runs []*run
+}
+
+// startedAt returns the latest start of the broken runs.
+func (c *crash) startedAt() time.Duration {
+	last := c.runs[0].startedAt
+	for _, r := range c.runs {
+		last = max(last, r.startedAt)
+	}
+	return last
+}
+
+// isOwn reports whether a run of this process broke.
+func (c *crash) isOwn() bool {
+	return slices.ContainsFunc(c.runs, func(r *run) bool { return r.own })
 }
 
 // explanation is a feature and the crashes that it would explain, in order of time.
@@ -84,23 +97,27 @@
 	share   float64
 }
 
-// inSequence counts the crashes that followed each other: the run of each began after the one before.
+// inSequence counts the crashes that followed each other: a run of each began after the one before, and is of a request that
+// has not counted yet.
 func (e *explanation) inSequence() int {
-	n := 0
+	counted := map[uint32]bool{}
 	var last time.Duration
 	for _, c := range e.crashes {
-		if n == 0 || c.startedAt > last {
-			n, last = n+1, c.at
+		i := slices.IndexFunc(c.runs, func(r *run) bool {
+			return !counted[r.request] && (len(counted) == 0 || r.startedAt > last)
+		})
+		if i >= 0 {
+			counted[c.runs[i].request], last = true, c.at
 		}
 	}
-	return n
+	return len(counted)
 }
 
 // late counts the crashes that came late, see toleratedCrashes.
 func (e *explanation) late() int {
 	n := 0
 	for _, c := range e.crashes[min(len(e.crashes), toleratedCrashes):] {
-		if c.startedAt > e.crashes[toleratedCrashes-1].at+noticeTime {
+		if c.startedAt() > e.crashes[toleratedCrashes-1].at+noticeTime {
 			n++
 		}
 	}
@@ -178,7 +195,7 @@
 // update records the crashes of a blamed feature.
 func (s *state) update(e *explanation) {
 	last := e.crashes[len(e.crashes)-1]
-	s.lastCrashAt, s.isOwn, s.lateCrashes = last.at, last.own, e.late()
+	s.lastCrashAt, s.isOwn, s.lateCrashes = last.at, last.isOwn(), e.late()
 }
 
 // bestOf returns the best of the sufficient explanations, or nil if there is none. One for which there is a better explanation
@@ -227,7 +244,7 @@
 	}
 	for _, f := range tied {
 		e, s := open[f], a.features[f]
-		s.blamed, s.shareKnown, s.common, s.tried = true, a.history.isKnown(now), e.share >= commonShare, false
+		s.blamed, s.shareKnown, s.common, s.tried = true, a.history.isKnown(f.kind(), now), e.share >= commonShare, false
 		s.tied = slices.DeleteFunc(slices.Clone(tied), func(other Feature) bool { return other == f })
 		s.update(e)
 		a.changes = append(a.changes, Change{Feature: f, Blamed: true, Crashes: len(e.crashes), Share: e.share})
@@ -258,45 +275,46 @@
 		return cmp.Or(cmp.Compare(x.endpoint, y.endpoint), cmp.Compare(x.crashedAt, y.crashedAt), cmp.Compare(x.id, y.id))
 	})
 	out := map[Feature]*explanation{}
+	var broken [maxKinds]int
 	number := 0
 	for i, r := range sorted {
+		broken[r.features[0].kind()]++
 		if i > 0 && !r.isSameCrash(sorted[i-1]) {
 			number++
 		}
 		for _, f := range r.features {
 			if a.features[f].countsAt(r.crashedAt) {
-				addCrash(out, f, crash{number: number, at: r.crashedAt, startedAt: r.startedAt, own: r.own})
+				addCrash(out, f, number, r)
 			}
 		}
 	}
 	for f, e := range out {
 		slices.SortFunc(e.crashes, func(x, y crash) int { return cmp.Compare(x.at, y.at) })
-		e.share = a.share(f, now)
+		e.share = a.share(f, broken[f.kind()], now)
 	}
 	return out
 }
 
-// addCrash adds a crash to the explanation of a feature. The runs of one crash are added one after another.
-func addCrash(out map[Feature]*explanation, f Feature, c crash) {
+// addCrash adds a broken run of the crash with a number to the explanation of a feature. The runs of one crash are added one
+// after another, in order of time.
+func addCrash(out map[Feature]*explanation, f Feature, number int, r *run) {
 	e := out[f]
 	if e == nil {
 		e = &explanation{feature: f}
 		out[f] = e
 	}
-	if n := len(e.crashes); n > 0 && e.crashes[n-1].number == c.number {
-		last := &e.crashes[n-1]
-		last.startedAt = max(last.startedAt, c.startedAt)
-		last.own = last.own || c.own
+	if n := len(e.crashes); n > 0 && e.crashes[n-1].number == number {
+		e.crashes[n-1].runs = append(e.crashes[n-1].runs, r)
 		return
 	}
-	e.crashes = append(e.crashes, c)
+	e.crashes = append(e.crashes, crash{number: number, at: r.crashedAt, runs: []*run{r}})
 }
 
-// share returns the fraction of the runs that have a feature: of those that completed, or of those that broke if too few
-// completed.
-func (a *Attributor) share(f Feature, now time.Duration) float64 {
-	if a.history.isKnown(now) {
+// share returns the fraction of the runs of its kind that have a feature: of those that completed, or of those that broke if
+// too few completed. broken counts the latter.
+func (a *Attributor) share(f Feature, broken int, now time.Duration) float64 {
+	if a.history.isKnown(f.kind(), now) {
 		return a.history.share(f, now)
 	}
-	return float64(a.features[f].runs) / float64(len(a.runs))
+	return float64(a.features[f].runs) / float64(broken)
 }
--- a/pkg/attributor/fleet_test.go
+++ b/pkg/attributor/fleet_test.go
@@ -122,10 +122,10 @@
 
 // features returns the features of a request.
 func (f *fleet) features(crashing bool) []attributor.Feature {
-	first := attributor.NewFeature("part", fmt.Sprint("first", f.rng.IntN(f.firstParts)))
-	session := attributor.NewFeature("part", fmt.Sprint("session", f.rng.IntN(f.sessions)))
+	first := attributor.NewFeature(1, fmt.Sprint("first", f.rng.IntN(f.firstParts)))
+	session := attributor.NewFeature(1, fmt.Sprint("session", f.rng.IntN(f.sessions)))
 	if crashing {
-		return []attributor.Feature{first, attributor.NewFeature("part", "crashing"), session}
+		return []attributor.Feature{first, attributor.NewFeature(1, "crashing"), session}
 	}
 	return []attributor.Feature{first, session}
 }
@@ -202,7 +202,10 @@
 func (f *fleet) crash(i int) {
 	e := &f.endpoints[i]
 	for _, r := range e.runs {
-		f.gateways[r.gateway].RecordCrash(r.id, fmt.Sprint(i, "-", e.incarnation), r.features, r.startedAt, f.now, f.now)
+		f.gateways[r.gateway].RecordCrash(attributor.Run{
+			Request: uint32(r.id), Endpoint: fmt.Sprint(i, "-", e.incarnation), Duration: f.now - r.startedAt, //nolint:gosec // small
+			Features: r.features,
+		}, f.now)
 	}
 	e.runs = nil
 	e.incarnation++
--- a/pkg/attributor/report.go
+++ b/pkg/attributor/report.go
@@ -9,14 +9,23 @@
 
 // Run is a run that broke when its endpoint crashed. Processes send it to their peers.
 type Run struct {
-	// ID tells it from all other runs.
+	// ID tells it from all other runs. Request is a digest of the request; repetitions of a request have the same.
 	ID       uint64
+	Request  uint32
 	Endpoint string
 	// Age is the time since the crash, and Duration the time from the start of the run to the crash.
 	Age, Duration time.Duration
 	Features      []Feature
 }
 
+// stored returns the stored form of the run.
+func (r Run) stored(now time.Duration) *run {
+	at := now - r.Age
+	return &run{
+		id: r.ID, request: r.Request, endpoint: r.Endpoint, crashedAt: at, startedAt: at - r.Duration, features: r.Features,
+	}
+}
+
 // Acquittal says that a run with a feature completed. Processes send it to their peers.
 type Acquittal struct {
 	Feature Feature
@@ -36,11 +45,8 @@
 		if len(r.Features) == 0 || r.Age > a.retention {
 			continue
 		}
-		at := now - r.Age
-		a.add(&run{
-			id: r.ID, endpoint: r.Endpoint, crashedAt: at, startedAt: at - r.Duration,
-			features: r.Features[:min(len(r.Features), MaxFeaturesPerRun)],
-		}, now)
+		r.Features = r.Features[:min(len(r.Features), MaxFeaturesPerRun)]
+		a.add(r.stored(now), now)
 	}
 	for _, c := range reports.Acquittals {
 		a.history.addStart(c.Feature, now-c.Age, now)
@@ -60,7 +66,7 @@
 	first, _ := slices.BinarySearch(ids, a.lastOther+1)
 	for i := 0; i < len(ids) && maxOthers > 0; i++ {
 		r := a.runs[ids[(first+i)%len(ids)]]
-		if r.unsent > 0 || !a.counts(r) {
+		if a.changedRuns.IsPending(r.id) || !a.counts(r) {
 			continue
 		}
 		out.Runs = append(out.Runs, r.export(now))
@@ -103,65 +109,33 @@
 // export returns the run for peers.
 func (r *run) export(now time.Duration) Run {
 	return Run{
-		ID: r.id, Endpoint: r.endpoint, Age: max(0, now-r.crashedAt), Duration: max(0, r.crashedAt-r.startedAt),
+		ID: r.id, Request: r.request, Endpoint: r.endpoint, Age: max(0, now-r.crashedAt), Duration: max(0, r.crashedAt-r.startedAt),
 		Features: r.features,
 	}
 }
 
-// announceRun makes NextReports return a run because it is new.
-func (a *Attributor) announceRun(r *run) {
-	r.unsent = sendsPerChange
-	a.changedRuns = append(a.changedRuns, r.id)
-}
-
-// announceFeature makes NextReports return the acquittal of a feature.
-func (a *Attributor) announceFeature(f Feature, s *state) {
-	if s.unsent == 0 {
-		a.changedFeatures = append(a.changedFeatures, f)
-	}
-	s.unsent = sendsPerChange
-}
-
 // nextRuns returns at most limit runs that are to be sent because they are new.
 func (a *Attributor) nextRuns(limit int, now time.Duration) []Run {
 	var out []Run
-	pending := a.changedRuns
-	a.changedRuns = nil
-	for i, id := range pending {
-		if len(out) == limit {
-			a.changedRuns = append(slices.Clone(pending[i:]), a.changedRuns...)
-			break
-		}
+	a.changedRuns.Next(limit, func(id uint64) bool {
 		r := a.runs[id]
-		if r == nil || r.unsent == 0 {
-			continue
+		if r != nil {
+			out = append(out, r.export(now))
 		}
-		out = append(out, r.export(now))
-		if r.unsent--; r.unsent > 0 {
-			a.changedRuns = append(a.changedRuns, id)
-		}
-	}
+		return r != nil
+	})
 	return out
 }
 
 // nextAcquittals returns at most limit acquittals that are to be sent because they are new.
 func (a *Attributor) nextAcquittals(limit int, now time.Duration) []Acquittal {
 	var out []Acquittal
-	pending := a.changedFeatures
-	a.changedFeatures = nil
-	for i, f := range pending {
-		if len(out) >= limit {
-			a.changedFeatures = append(slices.Clone(pending[i:]), a.changedFeatures...)
-			break
-		}
+	a.changedFeatures.Next(limit, func(f Feature) bool {
 		s := a.features[f]
-		if s == nil || s.unsent == 0 {
-			continue
+		if s != nil {
+			out = append(out, Acquittal{Feature: f, Age: max(0, now-s.servedStartedAt)})
 		}
-		out = append(out, Acquittal{Feature: f, Age: max(0, now-s.servedStartedAt)})
-		if s.unsent--; s.unsent > 0 {
-			a.changedFeatures = append(a.changedFeatures, f)
-		}
-	}
+		return s != nil
+	})
 	return out
 }
--- a/pkg/dispatcher/crashes_test.go
+++ b/pkg/dispatcher/crashes_test.go
@@ -13,7 +13,7 @@
 func crashDecode(t *testing.T, d *Dispatcher, id uint64, now time.Duration) bool {
 	t.Helper()
 	r := request(id)
-	r.Features = []attributor.Feature{attributor.NewFeature("part", "shared"), attributor.NewFeature("part", fmt.Sprint(id))}
+	r.Features = []attributor.Feature{attributor.NewFeature(1, "shared"), attributor.NewFeature(1, fmt.Sprint(id))}
 	commands := d.Submit(r, now)
 	if len(commands) == 1 && commands[0].Kind == Fail {
 		if commands[0].Reason != ReasonCrashesEndpoints || !commands[0].NotRun {
@@ -42,6 +42,6 @@
 		t.Errorf("got %d endpoints ended, want 4 to 8", crashed)
 	}
 	sound := request(100)
-	sound.Features = []attributor.Feature{attributor.NewFeature("part", "another")}
+	sound.Features = []attributor.Feature{attributor.NewFeature(1, "another")}
 	wantOneCommand(t, d.Submit(sound, 300*time.Second), Reserve)
 }
--- a/pkg/quarantiner/quarantiner.go
+++ b/pkg/quarantiner/quarantiner.go
@@ -12,6 +12,9 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/announcer"
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 )
 
 const (
@@ -72,12 +75,6 @@
 	return endpoints, age
 }
 
-// ExplainedCrash is a crash of an endpoint at the time At that something else than the requests running there explains.
-type ExplainedCrash struct {
-	Endpoint string
-	At       time.Duration
-}
-
 // Quarantiner stores crash records for a limited time. It is not safe for concurrent use. Its times are durations since
 // any fixed start.
 type Quarantiner struct {
@@ -85,15 +82,15 @@
 	maxRecords int
 	records    map[Fingerprint]*record
 	// explained holds the crashes that count against no request.
-	explained []ExplainedCrash
+	explained []attributor.Crash
 	// evaluation is what the records say. It is nil if they have changed since, and valid until evaluationExpiresAt.
 	evaluation          *evaluation
 	evaluationExpiresAt time.Duration
 	// sorted holds the fingerprints of all records in order. It is nil if it must be computed again.
 	sorted []Fingerprint
-	// changed holds the fingerprints of the records that are to be sent because of a change, each once, in the order in
-	// which they are sent. It may also hold some of deleted records.
-	changed []Fingerprint
+	// changed holds the fingerprints of the records that are to be sent because of a change. It may also hold some of deleted
+	// records.
+	changed *announcer.Announcer[Fingerprint]
 	// lastOther is the fingerprint of the last record that NextCrashRecords returned in its turn.
 	lastOther Fingerprint
 }
@@ -102,8 +99,6 @@
 type record struct {
 	// crashes are in no particular order.
 	crashes []crash
-	// unsent is how often the record is still to be sent to the peers because of a change at this process.
-	unsent int
 }
 
 // crash is the stored form of a Crash.
@@ -125,7 +120,10 @@
 // New returns an empty quarantiner. It deletes a record when no crash was added to it for the time retention, and
 // stores at most maxRecords records.
 func New(retention time.Duration, maxRecords int) *Quarantiner {
-	return &Quarantiner{retention: retention, maxRecords: maxRecords, records: make(map[Fingerprint]*record)}
+	return &Quarantiner{
+		retention: retention, maxRecords: maxRecords, records: make(map[Fingerprint]*record),
+		changed: announcer.New[Fingerprint](sendsPerChange),
+	}
 }
 
 // RecordCrash records that the request was running at an endpoint when it crashed. If the limit of records is reached,
@@ -136,22 +134,16 @@
 
 // RecordEarlierCrash is RecordCrash for a crash at the given time, of which this process has learned only now.
 func (q *Quarantiner) RecordEarlierCrash(f Fingerprint, endpoint string, at, now time.Duration) {
-	if r, changed := q.add(f, crash{endpoint: endpoint, at: at}, now); changed {
-		q.announce(f, r)
+	if q.add(f, crash{endpoint: endpoint, at: at}, now) {
+		q.changed.Announce(f)
 	}
 }
 
-// SetExplained replaces the crashes that count against no request, because something else explains them.
-func (q *Quarantiner) SetExplained(crashes []ExplainedCrash) {
-	q.explained, q.evaluation = crashes, nil
-}
-
-// announce makes NextCrashRecords return a record because of a change.
-func (q *Quarantiner) announce(f Fingerprint, r *record) {
-	if r.unsent == 0 {
-		q.changed = append(q.changed, f)
+// Exclude makes the crashes count against no request that what requests share explains.
+func (q *Quarantiner) Exclude(a *attributor.Attributor, now time.Duration) {
+	if crashes, changed := a.Explained(now); changed {
+		q.explained, q.evaluation = crashes, nil
 	}
-	r.unsent = sendsPerChange
 }
 
 // Clear records that a request has completed, so that it was not the cause of the crashes so far.
@@ -167,7 +159,7 @@
 		r.crashes[i].cleared = true
 	}
 	q.evaluation = nil
-	q.announce(f, r)
+	q.changed.Announce(f)
 }
 
 // Merge adds the crashes that a peer sent.
@@ -181,10 +173,10 @@
 	}
 }
 
-// add stores a crash and returns its record, and whether that changed. Of two reports of the same crash the earlier time
+// add stores a crash and returns whether the record of the request has got another one. Of two reports of the same crash the earlier time
 // is kept, because reports of peers are delayed.
-func (q *Quarantiner) add(f Fingerprint, c crash, now time.Duration) (r *record, changed bool) {
-	r = q.lookup(f, now)
+func (q *Quarantiner) add(f Fingerprint, c crash, now time.Duration) bool {
+	r := q.lookup(f, now)
 	if r == nil {
 		q.makeRoom()
 		r = &record{}
@@ -196,7 +188,7 @@
 			if c.cleared && !known.cleared {
 				known.cleared, q.evaluation = true, nil
 			}
-			return r, false
+			return false
 		}
 	}
 	if len(r.crashes) >= maxStoredCrashes {
@@ -204,7 +196,7 @@
 	}
 	r.crashes = append(r.crashes, c)
 	q.evaluation = nil
-	return r, true
+	return true
 }
 
 // CrashRecords returns all records that have not expired, ordered by fingerprint, to be sent to peers.
@@ -227,7 +219,7 @@
 	first, _ := slices.BinarySearch(fingerprints, q.lastOther+1)
 	for i := 0; i < len(fingerprints) && maxOthers > 0; i++ {
 		f := fingerprints[(first+i)%len(fingerprints)]
-		if r := q.lookup(f, now); r != nil && r.unsent == 0 && !r.isCleared() {
+		if r := q.lookup(f, now); r != nil && !q.changed.IsPending(f) && !r.isCleared() {
 			out = append(out, r.export(f, now))
 			q.lastOther = f
 			maxOthers--
@@ -239,22 +231,13 @@
 // nextChanges returns at most limit records that are to be sent because of a change.
 func (q *Quarantiner) nextChanges(limit int, now time.Duration) []CrashRecord {
 	var out []CrashRecord
-	pending := q.changed
-	q.changed = nil
-	for i, f := range pending {
-		if len(out) == limit {
-			q.changed = append(pending[i:], q.changed...)
-			break
-		}
+	q.changed.Next(limit, func(f Fingerprint) bool {
 		r := q.lookup(f, now)
-		if r == nil || r.unsent == 0 {
-			continue
-		}
-		out = append(out, r.export(f, now))
-		if r.unsent--; r.unsent > 0 {
-			q.changed = append(q.changed, f)
+		if r != nil {
+			out = append(out, r.export(f, now))
 		}
-	}
+		return r != nil
+	})
 	return out
 }
 
--- a/pkg/quarantiner/verdict.go
+++ b/pkg/quarantiner/verdict.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/pkg/attributor"
 )
 
 const (
@@ -173,7 +175,7 @@
 
 // isExplained reports whether something else than the requests explains a crash.
 func (q *Quarantiner) isExplained(c crash) bool {
-	return slices.ContainsFunc(q.explained, func(x ExplainedCrash) bool {
+	return slices.ContainsFunc(q.explained, func(x attributor.Crash) bool {
 		return x.Endpoint == c.endpoint && (x.At-c.at).Abs() < sameCrashInterval
 	})
 }
