--- a/pkg/attributor/attributor_test.go
+++ b/pkg/attributor/attributor_test.go
@@ -149,10 +149,10 @@
 	}
 }
 
-// serve records completed runs with the features in the second before a time.
-func serve(a *attributor.Attributor, n int, now time.Duration, features ...attributor.Feature) {
+// serve records runs with the features that completed in the first second.
+func serve(a *attributor.Attributor, n int, features ...attributor.Feature) {
 	for range n {
-		a.RecordServed(features, now-time.Second, now)
+		a.RecordServed(features, 0, time.Second)
 	}
 }
 
@@ -161,7 +161,7 @@
 func TestCommonFeatureIsBlamedAsSoonAsRareOne(t *testing.T) {
 	for _, f := range []attributor.Feature{common, guilty} {
 		a := attributor.New(retention, maxRuns)
-		serve(a, 20, time.Second, common)
+		serve(a, 20, common)
 		for i := range 5 {
 			crashAt(a, time.Duration(i+2)*time.Second, f)
 		}
@@ -174,8 +174,8 @@
 // A part that many requests have is at each crash of a rarer one, and at others. The rarer one is the cause.
 func TestMoreFrequentFeatureIsBlamed(t *testing.T) {
 	a := attributor.New(retention, maxRuns)
-	serve(a, 6, time.Second, common)
-	serve(a, 14, time.Second, paired)
+	serve(a, 6, common)
+	serve(a, 14, paired)
 	for i := range 8 {
 		crashAt(a, time.Duration(i+2)*time.Second, common, guilty)
 	}
@@ -190,7 +190,7 @@
 // that all runs have look as if hardly any had it.
 func TestCompletedPrefillsMakeCommonPartRare(t *testing.T) {
 	a := attributor.New(retention, maxRuns)
-	serve(a, 50, time.Second, common+1)
+	serve(a, 50, common+1)
 	for i := range 6 {
 		crashAt(a, time.Duration(i+2)*time.Second, common)
 	}
