--- a/internal/limits/crashtracker/crashtracker_test.go
+++ b/internal/limits/crashtracker/crashtracker_test.go
@@ -316,3 +316,37 @@
 		t.Error("got a refusal of the request beside the crashing part, want none: the part explains its crashes")
 	}
 }
+
+// A part of prompts under which prefills crash endpoints was never prefilled again for a day, also if it did no harm any more.
+func TestPartBlamedForPrefillsIsNeverTried(t *testing.T) {
+	tracker := crashtracker.New(24*time.Hour, 100)
+	work := func(n int) crashtracker.Work {
+		w := crashtracker.Work{Run: quarantiner.Fingerprint(100 + n), Prefill: quarantiner.Fingerprint(1000 + n)} //nolint:gosec // not negative
+		return w.WithParts([]string{"bad", "own"}, true)
+	}
+	prefill := func(w crashtracker.Work, at time.Duration) crashtracker.Run {
+		return crashtracker.Run{Fingerprint: w.Prefill, Parts: w.PrefillParts, StartedAt: at}
+	}
+	for n := range 10 {
+		endpoint, at := fmt.Sprint("e", n), time.Duration(n)*time.Second
+		tracker.RecordBrokenConnection(endpoint, prefill(work(n), at), at+time.Millisecond)
+		tracker.RecordEndpointDown(endpoint, crashtracker.ConnectionRefused, at+time.Millisecond)
+	}
+	w, now := work(50), 10*time.Second
+	if !tracker.DecidePrefill(w, now).Refused || tracker.DecideRun(w, now).Refused {
+		t.Fatal("got another verdict than that the prompt is read by the decode endpoint")
+	}
+	for !tracker.DecidePrefill(w, now).Trial {
+		if now += time.Minute; now > 3*time.Hour {
+			t.Fatal("got no trial of a prefill in three hours, want one")
+		}
+	}
+	tracker.BeginPrefillTrial(w, now)
+	if !tracker.DecidePrefill(work(51), now).Refused {
+		t.Error("got a second trial beside the first one, want none")
+	}
+	tracker.RecordServed(prefill(w, now), now+time.Second)
+	if tracker.DecidePrefill(work(52), now+time.Second).Refused {
+		t.Error("got a refusal after a prefill that completed, want none")
+	}
+}
--- a/internal/limits/crashtracker/work.go
+++ b/internal/limits/crashtracker/work.go
@@ -77,6 +77,10 @@
 // BeginTrial records that a request is sent to be run although parts of its prompt are blamed.
 func (t *CrashTracker) BeginTrial(w Work, now time.Duration) {
 	t.parts.BeginTrial(w.Parts, now)
+}
+
+// BeginPrefillTrial records that a prefill of a request is sent although parts of its prompt are blamed for such.
+func (t *CrashTracker) BeginPrefillTrial(w Work, now time.Duration) {
 	t.parts.BeginTrial(w.PrefillParts, now)
 }
 
@@ -88,6 +92,7 @@
 	p := t.parts.Decide(w.Parts, now)
 	if !p.Refused && !p.Trial && t.parts.IsBlamed(w.PrefillParts, now) && t.parts.HasCrashed(w.Parts) {
 		p = t.parts.Decide(w.PrefillParts, now)
+		p.Trial = false
 	}
 	switch {
 	case p.Refused:
@@ -104,12 +109,12 @@
 	if v.Refused {
 		return v
 	}
-	p := t.Decide(w.Prefill, now)
-	if !p.Refused && !w.Trial && !v.Trial && t.parts.IsBlamed(w.PrefillParts, now) {
-		p.Refused = true
-	}
+	p := Verdict{Verdict: t.Decide(w.Prefill, now), Part: v.Part}
 	p.RetryAfter = max(p.RetryAfter, v.RetryAfter)
-	return Verdict{Verdict: p, Part: v.Part, Trial: v.Trial}
+	parts := t.parts.Decide(w.PrefillParts, now)
+	p.Refused = p.Refused || parts.Refused
+	p.Trial = parts.Trial
+	return p
 }
 
 // openSuspicionRest returns how long a request has to wait because of suspicions that are not decided yet.
--- a/internal/routing/controller/suspensions.go
+++ b/internal/routing/controller/suspensions.go
@@ -46,7 +46,7 @@
 }
 
 // DecideSend returns whether a request that was received at the given time may be sent to an endpoint now, as a prefill or
-// to be run: whether that crashes endpoints, and whether the endpoint wants it. If it may only be run as a trial of a part of its
+// to be run: whether that crashes endpoints, and whether the endpoint wants it. If it may only be sent as a trial of a part of its
 // prompt, the trial begins.
 func (c *Controller) DecideSend(
 	w crashtracker.Work, prefill bool, endpointID string, receivedAt time.Duration,
@@ -56,7 +56,11 @@
 	now := c.clock()
 	wanted = c.suspender.MaySend(endpointID, receivedAt, now)
 	if prefill {
-		return c.crashTracker.DecidePrefill(w, now), wanted
+		v = c.crashTracker.DecidePrefill(w, now)
+		if v.Trial && wanted && v.RetryAfter == 0 {
+			c.crashTracker.BeginPrefillTrial(w, now)
+		}
+		return v, wanted
 	}
 	v = c.crashTracker.DecideRun(w, now)
 	if v.Trial && wanted && v.RetryAfter == 0 {
