Scenario of a shared line: twelve requests, and pauses for engines that crashed

Since crashes count by request, a line that all requests have needs eight of them when they come within three seconds; the bound (no more than three ends later than that after the fifth) is that of the other tests.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -55,10 +55,14 @@
 			"ran":      command((*testbed).cmdRan),
 			"idle":     command((*testbed).cmdIdle),
 			"fail":     command((*testbed).cmdFail),
+			"pause":    command((*testbed).cmdPause),
 		},
 	})
 }
 
+// engineRestartTime is longer than an engine is down after a crash, and than its agent is ejected for one failure.
+const engineRestartTime = time.Second
+
 // testbedKey is the key under which the environment of a script stores its testbed.
 type testbedKey struct{}
 
@@ -471,3 +475,6 @@
 		}
 	}
 }
+
+// cmdPause waits until crashed engines have started again: pause.
+func (b *testbed) cmdPause(_ args) { time.Sleep(engineRestartTime) }
