Crashes for which a part is blamed are told again

Its peers had told the earlier ones before it started, and repeated one run in four messages. A gateway that blames a part now announces the runs for which it does. That this is what happened is inferred from the times of the runs; the logs were not kept. TestStartedProcessMissesEarlierCrashes failed before.

--- a/pkg/attributor/attributor_test.go
+++ b/pkg/attributor/attributor_test.go
@@ -279,6 +279,27 @@
 	}
 }
 
+// A process that started between the crashes knows only the latest ones. It must learn of the others as soon as a peer refuses the
+// part (soak in CI, seed 52: five late runs).
+func TestStartedProcessMissesEarlierCrashes(t *testing.T) {
+	a, b := attributor.New(retention, maxRuns), attributor.New(retention, maxRuns)
+	for i := range 8 {
+		crashAt(a, time.Duration(i+1)*time.Second, guilty)
+		for range 4 {
+			a.NextReports(5, 0, time.Duration(i+1)*time.Second)
+		}
+	}
+	if !isRefused(a, 8*time.Second, guilty) {
+		t.Fatal("got no refusal at the process that saw all crashes, want one")
+	}
+	for range 4 {
+		b.Merge(a.NextReports(5, 0, 8*time.Second), 8*time.Second)
+	}
+	if !isRefused(b, 8*time.Second, guilty) {
+		t.Error("got no refusal at the other process after four messages, want one")
+	}
+}
+
 // Callers may name any number of parts. A flood of invented ones must push out neither a blamed part nor one under
 // suspicion, and memory must stay bounded.
 func TestInventedFeaturesPushOutOthers(t *testing.T) {
--- a/pkg/attributor/evaluation.go
+++ b/pkg/attributor/evaluation.go
@@ -248,11 +248,20 @@
 		s.tied = slices.DeleteFunc(slices.Clone(tied), func(other Feature) bool { return other == f })
 		s.update(e)
 		a.changes = append(a.changes, Change{Feature: f, Blamed: true, Crashes: len(e.crashes), Share: e.share})
+		a.announceCrashes(e.crashes)
 		delete(open, f)
 	}
 	explain(open, best.crashes)
 }
 
+// announceCrashes makes NextReports return the runs of crashes for which a feature is blamed, also those of peers: a process that
+// has started since may know only the latest of them.
+func (a *Attributor) announceCrashes(crashes []crash) {
+	for _, c := range crashes {
+		a.changedRuns.Announce(c.runs[0].id)
+	}
+}
+
 // explain takes crashes that are explained from the remaining features.
 func explain(open map[Feature]*explanation, explained []crash) {
 	for f, e := range open {
