--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -78,6 +78,8 @@
 // against the request.
 func (f *Forwarder) suspect(j *job, c contact) (recorded bool) {
 	run := j.run(c)
+	// A trial is over once its connection broke.
+	j.work.Trial = false
 	f.controller.UpdateCrashTracker(func(t *crashtracker.CrashTracker, now time.Duration) {
 		recorded = t.RecordBrokenConnection(c.endpointID, run, now)
 	})
--- a/pkg/dispatcher/crashes.go
+++ b/pkg/dispatcher/crashes.go
@@ -31,7 +31,7 @@
 // recordCrash records that an endpoint crashed while it ran or prefilled a request.
 func (d *Dispatcher) recordCrash(j *job, endpoint string, now time.Duration) {
 	d.quarantiner.RecordCrash(j.Fingerprint, endpoint, now)
-	j.suspect = true
+	j.suspect, j.isTrial = true, false
 	features := j.Features
 	if j.phase == prefilling {
 		features = j.PrefillFeatures
