One call for the part reports of a message; no sorting where nothing is sent in turn

Read in the diff: a message for a new gateway asked for its reports twice, each message sorted all broken runs also when none was to be sent in turn, and the largest age of a crash in a message stood twice.

--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -172,8 +172,6 @@
 	maxFleetSize = 100000
 	// maxFleetSizeTime is the longest time for which that number may be used.
 	maxFleetSizeTime = 10 * time.Minute
-	// maxCrashAge is the largest age of a crash that a message may report.
-	maxCrashAge = 100 * 24 * time.Hour
 )
 
 // check fails if the message lacks a sender address or an incarnation, or if a time or a number in it is impossible. A
@@ -206,7 +204,7 @@
 		for _, c := range r.Crashes {
 			ages = append(ages, c.AgeMs)
 		}
-		if slices.Min(ages) < 0 || slices.Max(ages) > maxCrashAge.Milliseconds() {
+		if slices.Min(ages) < 0 || slices.Max(ages) > crashencoder.MaxAge.Milliseconds() {
 			return errors.Errorf("state message of %s has crashes of ages %d ms", m.From, ages)
 		}
 	}
--- a/internal/limits/crashencoder/crashencoder.go
+++ b/internal/limits/crashencoder/crashencoder.go
@@ -14,8 +14,8 @@
 const (
 	// bytesPerPart is the length of a part in a message.
 	bytesPerPart = 8
-	// maxAge is the largest age or duration that a message may report.
-	maxAge = 100 * 24 * time.Hour
+	// MaxAge is the largest age or duration that a message may report.
+	MaxAge = 100 * 24 * time.Hour
 )
 
 // Reports is the wire form of attributor.Reports.
@@ -108,7 +108,7 @@
 // check fails if the age or the duration is impossible, or if the parts have a wrong length.
 func (b BrokenRun) check() error {
 	switch {
-	case min(b.AgeMs, b.DurationMs) < 0 || max(b.AgeMs, b.DurationMs) > maxAge.Milliseconds():
+	case min(b.AgeMs, b.DurationMs) < 0 || max(b.AgeMs, b.DurationMs) > MaxAge.Milliseconds():
 		return errors.Errorf("broken run of age %d ms and duration %d ms", b.AgeMs, b.DurationMs)
 	case len(b.Parts)%bytesPerPart != 0:
 		return errors.Errorf("broken run with %d bytes of parts", len(b.Parts))
@@ -119,7 +119,7 @@
 
 // check fails if the age is impossible.
 func (p AcquittedPart) check() error {
-	if p.AgeMs < 0 || p.AgeMs > maxAge.Milliseconds() {
+	if p.AgeMs < 0 || p.AgeMs > MaxAge.Milliseconds() {
 		return errors.Errorf("served part of age %d ms", p.AgeMs)
 	}
 	return nil
--- a/internal/routing/controller/crashes.go
+++ b/internal/routing/controller/crashes.go
@@ -118,14 +118,13 @@
 	if c.composedMessages%messagesPerCrashRecord == 0 {
 		others = 1
 	}
-	parts := c.crashTracker.NextPartReports(maxPartChangesPerMessage, others, 0, now)
 	if hasNewPeer {
-		others, forNewPeer = crashRecordsForNewPeer, crashRecordsForNewPeer
-		parts.Runs = append(parts.Runs, c.crashTracker.NextPartReports(0, 0, forNewPeer, now).Runs...)
+		forNewPeer = crashRecordsForNewPeer
 	}
+	parts := c.crashTracker.NextPartReports(maxPartChangesPerMessage, others, forNewPeer, now)
 	m.Parts = crashencoder.Encode(parts)
 	changes := maxCrashChangesPerMessage - min(maxPartChangesPerMessage, len(parts.Runs)+len(parts.Acquittals))
-	m.CrashRecords = encodeCrashRecords(c.crashTracker.NextCrashRecords(changes, others, now))
+	m.CrashRecords = encodeCrashRecords(c.crashTracker.NextCrashRecords(changes, max(others, forNewPeer), now))
 }
 
 // receiveCrashRecords adds the crash records of a message. Reports of one crash are recognised by its time, so those of a
--- a/pkg/attributor/report.go
+++ b/pkg/attributor/report.go
@@ -62,6 +62,9 @@
 func (a *Attributor) NextReports(maxChanges, maxOthers int, now time.Duration) Reports {
 	out := Reports{Runs: a.nextRuns(maxChanges, now)}
 	out.Acquittals = a.nextAcquittals(maxChanges-len(out.Runs), now)
+	if maxOthers == 0 {
+		return out
+	}
 	ids := slices.Sorted(maps.Keys(a.runs))
 	first, _ := slices.BinarySearch(ids, a.lastOther+1)
 	for i := 0; i < len(ids) && maxOthers > 0; i++ {
