--- a/review/_rig/testbed.go
+++ b/review/_rig/testbed.go
@@ -102,17 +102,27 @@
 
 // startGateway starts a gateway with the command of the deploy file.
 func (b *testbed) startGateway(n int, storeAddress string, gateways int) error {
-	content, err := json.Marshal(settings(n, b.network, storeAddress, gateways))
+	g, err := b.startProcess(n, storeAddress, gateways)
 	if err != nil {
 		return err
 	}
+	b.gateways = append(b.gateways, g)
+	return nil
+}
+
+// startProcess starts the process of a gateway. It must be called from the thread that the gateways end with.
+func (b *testbed) startProcess(n int, storeAddress string, gateways int) (*gateway, error) {
+	content, err := json.Marshal(settings(n, b.network, storeAddress, gateways))
+	if err != nil {
+		return nil, err
+	}
 	path := filepath.Join(b.dir, fmt.Sprintf("boot-%d.json", n))
 	if err := os.WriteFile(path, content, 0o600); err != nil {
-		return err
+		return nil, err
 	}
-	out, err := os.Create(filepath.Join(b.dir, fmt.Sprintf("gateway-%d.log", n)))
+	out, err := os.OpenFile(filepath.Join(b.dir, fmt.Sprintf("gateway-%d.log", n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = out.Close() }()
 	c := exec.Command("target/pistachiovane", "edge")
@@ -120,7 +130,7 @@
 	c.Stdout, c.Stderr = out, out
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	g := &gateway{ip: gatewayIP(b.network, n), process: c, exited: make(chan struct{})}
 	go func() {
@@ -128,8 +138,7 @@
 		b.record.printf("gateway %s has ended", g.ip)
 		close(g.exited)
 	}()
-	b.gateways = append(b.gateways, g)
-	return nil
+	return g, nil
 }
 
 // addReplica starts a replica and writes its entry.
