--- a/review/_rig/platform.go
+++ b/review/_rig/platform.go
@@ -190,8 +190,8 @@
 	statusRead = "/puxa403/2f"
 )
 
-// config returns the configuration of the deployment.
-func config(version, tokensPerEvent int) any {
+// config returns the configuration of the deployment, with the keys of its account.
+func config(version, tokensPerEvent int, keys ...string) any {
 	return map[string]any{
 		"version": version,
 		"routes": []route{
@@ -215,7 +215,7 @@
 			"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 		"tenants": []any{map[string]any{
-			"name": account, "api_keys": []string{apiKey}, "priority": 1, "unit": "token_stream", "plain_tokens": 200,
+			"name": account, "api_keys": keys, "priority": 1, "unit": "token_stream", "plain_tokens": 200,
 			"rate_per_s": 1174820, "burst": 1174820,
 		}},
 	}
--- a/review/_rig/testbed.go
+++ b/review/_rig/testbed.go
@@ -56,14 +56,14 @@
 	if b.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
 	}
-	if err := b.findNetwork(gateways); err != nil {
+	if err := b.findNetwork(max(gateways, 4)); err != nil {
 		return nil, err
 	}
 	storeAddress := b.network + ".200:8361"
 	if b.store, err = newStore(storeAddress, b.record); err != nil {
 		return nil, err
 	}
-	b.store.put("op/config", config(7, tokensPerEvent))
+	b.store.put("op/config", config(7, tokensPerEvent, apiKey, "xd9dnn2ctnfzs989anu6"))
 	for n := range gateways {
 		if err := b.startGateway(n, storeAddress, gateways); err != nil {
 			return b, err
