--- a/review/_rig2/client.go
+++ b/review/_rig2/client.go
@@ -13,7 +13,9 @@
 type request struct {
 	id, method, path, body, key string
 	budget                      time.Duration
-	sentAt                      time.Time
+	// headers are further header lines, each with its line end.
+	headers string
+	sentAt  time.Time
 }
 
 // result is what the client has seen of the answer.
@@ -46,8 +48,8 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(q.budget + time.Second))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: app.example\r\nX-Pistachiovane-Attempt-Id: %s\r\n"+
-		"X-Pistachiovane-Time-Budget-Ms: %d\r\nX-Pistachiovane-Credential: %s\r\n",
-		q.method, q.path, q.id, q.budget.Milliseconds(), q.key)
+		"X-Pistachiovane-Time-Budget-Ms: %d\r\nX-Pistachiovane-Credential: %s\r\n%s",
+		q.method, q.path, q.id, q.budget.Milliseconds(), q.key, q.headers)
 	if q.body != "" || q.method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
 	}
