--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/signal"
 	"sort"
@@ -18,12 +19,14 @@
 
 // rig is one play of a case.
 type rig struct {
-	trouble  bool
-	folder   string
-	block    int
-	store    *store
-	gateways []*gateway
-	started  time.Time
+	trouble bool
+	folder  string
+	block   int
+	// blockTaken is the listener that marks the block of addresses as taken.
+	blockTaken net.Listener
+	store      *store
+	gateways   []*gateway
+	started    time.Time
 
 	mu     sync.Mutex
 	record *os.File
@@ -54,8 +57,9 @@
 	f, err := os.Create(os.Args[2])
 	must(err)
 	r := &rig{
-		trouble: os.Getenv("TROUBLE") != "0", folder: folder, block: 1 + rand.IntN(200), record: f, started: time.Now(),
+		trouble: os.Getenv("TROUBLE") != "0", folder: folder, record: f, started: time.Now(),
 	}
+	r.takeBlock()
 	current = r
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
@@ -71,6 +75,22 @@
 	r.end(0)
 }
 
+// blockPort is the port whose listener marks a block of addresses as taken.
+const blockPort = 8361
+
+// takeBlock chooses a block of loopback addresses that no other play uses. The listener lasts as long as the play.
+func (r *rig) takeBlock() {
+	for range 50 {
+		r.block = 1 + rand.IntN(250)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", r.ip(1), blockPort))
+		if err == nil {
+			r.blockTaken = l
+			return
+		}
+	}
+	cannotRun("no block of addresses is free")
+}
+
 // ip returns an address of the block of this play.
 func (r *rig) ip(n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 70+r.block%50, r.block, n)
