--- a/review/_rig2/equal.go
+++ b/review/_rig2/equal.go
@@ -57,6 +57,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	r.noteReadiness()
 	ran := map[string]bool{}
 	for _, p := range replicas {
 		for _, a := range p.seen() {
--- a/review/_rig2/gateway.go
+++ b/review/_rig2/gateway.go
@@ -111,18 +111,30 @@
 	<-g.ended
 }
 
+// isReady reports whether the gateway says that it is ready.
+func (g *gateway) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + g.ready + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // awaitReady waits until the gateway says that it is ready.
 func (g *gateway) awaitReady(limit time.Duration) {
-	client := http.Client{Timeout: time.Second}
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get("http://" + g.ready + "/v1/readyz")
-		if err != nil {
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusOK {
+		if g.isReady() {
 			return
 		}
 	}
 	cannotRun("%s is not ready after %v", g.name, limit)
 }
+
+// noteReadiness writes to the record whether the gateways say that they are ready.
+func (r *rig) noteReadiness() {
+	for _, g := range r.gateways {
+		r.note("%s says that it is ready: %v", g.name, g.isReady())
+	}
+}
--- a/review/_rig2/missed.go
+++ b/review/_rig2/missed.go
@@ -90,6 +90,7 @@
 	r.note("the store serves %s again, at revision %d", b.name, r.store.currentRevision())
 	// The machine is in touch after contact_ms, and the version is in force.
 	time.Sleep(contactTime + 2*time.Second + 6*time.Second)
+	r.noteReadiness()
 	close(stop)
 	sent.Wait()
 	stale, right, total := map[string]int{}, map[string]int{}, 0
