The store's era is read, and shown in logs, metrics and the state dump

Cause, not mended here: nothing reads the header Store-Era. A revision alone says neither which state of the store is meant nor which of two is newer.

Change: a revision is a value of an era and a number (internal/fleet/revision). Comparisons still go by the number. New: the log line 'store: answer of another era', the metrics store.era, store.eras, store.reads and store.late, and config and list in the state dump.

--- a/internal/fleet/follower/call.go
+++ b/internal/fleet/follower/call.go
@@ -1,11 +1,15 @@
 package follower
 
-import "context"
+import (
+	"context"
+
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
+)
 
 // answer is the result of a call to the store.
 type answer struct {
 	items    []Item
-	revision uint64
+	revision revision.Revision
 	err      error
 }
 
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/deferrer"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 )
 
@@ -33,7 +34,7 @@
 type Item struct {
 	Key      string
 	Value    []byte
-	Revision uint64
+	Revision revision.Revision
 	// Removed is true if the entry was removed.
 	Removed bool
 }
@@ -41,10 +42,11 @@
 // Source gives access to the store. Its methods return early when the context ends.
 type Source interface {
 	// Read returns all entries whose keys begin with prefix, and a revision that they are at least as new as.
-	Read(ctx context.Context, prefix string) (items []Item, revision uint64, err error)
-	// Watch returns the changes after a revision as soon as there are any, or no items after the wait. It fails with
-	// ErrHistoryLost if the store no longer holds these changes.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []Item, revision uint64, err error)
+	Read(ctx context.Context, prefix string) (items []Item, at revision.Revision, err error)
+	// Watch returns the changes after the number of a revision as soon as there are any, or no items after the wait. They are
+	// changes of the era of at, which may be another one than that of after. It fails with ErrHistoryLost if the store no
+	// longer holds these changes; at then holds the era alone.
+	Watch(ctx context.Context, prefix string, after revision.Revision, wait time.Duration) (items []Item, at revision.Revision, err error)
 }
 
 // Update is the state of the copy after a read or a change.
@@ -56,7 +58,7 @@
 	// CurrentAt is a time at which the copy is known to have held all entries of the store, and Revision the revision
 	// of the store at that time.
 	CurrentAt time.Duration
-	Revision  uint64
+	Revision  revision.Revision
 	// FullRead is true if all entries were read again.
 	FullRead bool
 }
@@ -72,8 +74,8 @@
 	Removals deferrer.Options
 }
 
-// Follower follows the entries under one prefix. Only Refresh may be called while Serve runs; all other state belongs
-// to the goroutine of Serve.
+// Follower follows the entries under one prefix. Only Refresh and Status may be called while Serve runs; all other state
+// belongs to the goroutine of Serve.
 type Follower struct {
 	source  Source
 	options Options
@@ -82,7 +84,7 @@
 	apply   func(Update)
 
 	items    map[string]Item
-	revision uint64
+	revision revision.Revision
 	// currentAt is a time at which the copy is known to have been complete.
 	currentAt time.Duration
 	// synced is false while all entries must be read (again), instead of only their changes.
@@ -94,6 +96,7 @@
 	retryDelay time.Duration
 	// removals holds the removals that are deferred. It is created by Serve.
 	removals *deferrer.Deferrer
+	status   statusRecorder
 	// refresh receives a value for each call of Refresh; further calls are dropped while one is pending.
 	refresh chan struct{}
 }
@@ -115,6 +118,11 @@
 	}
 }
 
+// Status returns the revision of the copy and what led to it. It is safe for concurrent use.
+func (f *Follower) Status() Status {
+	return f.status.get()
+}
+
 // Serve follows the store until the context ends. It returns the error of the context; failed calls are retried.
 func (f *Follower) Serve(ctx context.Context) error {
 	f.removals = deferrer.New(f.options.Removals, f.clock())
@@ -179,13 +187,15 @@
 func (f *Follower) read(ctx context.Context) error {
 	startedAt := f.clock()
 	a := f.await(ctx, func(ctx context.Context) answer {
-		items, revision, err := f.source.Read(ctx, f.options.Prefix)
-		return answer{items: items, revision: revision, err: err}
+		items, at, err := f.source.Read(ctx, f.options.Prefix)
+		return answer{items: items, revision: at, err: err}
 	}, nil)
 	if a.err != nil {
 		return a.err
 	}
 	f.recordSuccess()
+	f.logEra(a.revision, len(a.items))
+	f.status.recordRead(a.revision, f.clock())
 	f.replaceItems(a.items, a.revision, startedAt)
 	return nil
 }
@@ -201,20 +211,22 @@
 	}
 	f.refreshing = false
 	a := f.await(ctx, func(ctx context.Context) answer {
-		items, revision, err := f.source.Watch(ctx, f.options.Prefix, f.revision, wait)
-		return answer{items: items, revision: revision, err: err}
+		items, at, err := f.source.Watch(ctx, f.options.Prefix, f.revision, wait)
+		return answer{items: items, revision: at, err: err}
 	}, f.refresh)
 	switch {
 	case errors.Is(a.err, errRefreshRequested):
 		return false, nil
 	case errors.Is(a.err, ErrHistoryLost):
-		f.log.Warn().Str("prefix", f.options.Prefix).Uint64("revision", f.revision).Msg("store: history lost, reading anew")
+		f.log.Warn().Str("prefix", f.options.Prefix).Str("revision", f.revision.String()).
+			Msg("store: history lost, reading anew")
 		f.synced = false
 		return false, nil
 	case a.err != nil:
 		return false, a.err
 	}
 	f.recordSuccess()
+	f.logEra(a.revision, len(a.items))
 	if len(a.items) == 0 && f.clock()-startedAt >= wait {
 		// No changes were found for the whole wait, so the copy was complete until its end.
 		startedAt += wait
@@ -244,13 +256,13 @@
 }
 
 // replaceItems replaces the copy with the result of a full read. Entries whose removal is deferred are kept.
-func (f *Follower) replaceItems(items []Item, revision uint64, currentAt time.Duration) {
+func (f *Follower) replaceItems(items []Item, at revision.Revision, currentAt time.Duration) {
 	var changed, deferredKeys []string
 	newItems := make(map[string]Item, len(items))
 	for _, i := range items {
 		newItems[i.Key] = i
 		f.removals.Cancel(i.Key)
-		if old, ok := f.items[i.Key]; !ok || old.Revision != i.Revision {
+		if old, ok := f.items[i.Key]; !ok || old.Revision.Number != i.Revision.Number {
 			changed = append(changed, i.Key)
 		}
 	}
@@ -268,13 +280,13 @@
 		}
 		changed = append(changed, key)
 	}
-	f.items, f.revision, f.synced = newItems, revision, true
+	f.items, f.revision, f.synced = newItems, at, true
 	f.logDeferredRemovals(deferredKeys)
 	f.update(changed, currentAt, true)
 }
 
 // applyChanges applies the result of a watch to the copy, but for the removals that are deferred.
-func (f *Follower) applyChanges(items []Item, revision uint64, currentAt time.Duration) {
+func (f *Follower) applyChanges(items []Item, at revision.Revision, currentAt time.Duration) {
 	var changed, deferredKeys []string
 	for _, i := range items {
 		if !i.Removed {
@@ -292,7 +304,8 @@
 			changed = append(changed, i.Key)
 		}
 	}
-	f.revision = max(f.revision, revision)
+	f.revision = f.revision.WithNumber(max(f.revision.Number, at.Number))
+	f.status.recordChanges(f.revision)
 	f.logDeferredRemovals(deferredKeys)
 	f.update(changed, currentAt, false)
 }
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/deferrer"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 )
 
@@ -28,14 +29,14 @@
 	// read is true for an answer to Read and false for an answer to Watch.
 	read     bool
 	items    []follower.Item
-	revision uint64
+	revision revision.Revision
 	err      error
 	// delay is the time until the answer is returned.
 	delay time.Duration
 }
 
 // nextStep returns the answer to the next call.
-func (s *scriptedSource) nextStep(ctx context.Context, read bool) ([]follower.Item, uint64, error) {
+func (s *scriptedSource) nextStep(ctx context.Context, read bool) ([]follower.Item, revision.Revision, error) {
 	s.mu.Lock()
 	if s.calls < len(s.steps) && s.steps[s.calls].read == read {
 		st := s.steps[s.calls]
@@ -49,16 +50,16 @@
 	case <-ctx.Done():
 	case <-time.After(time.Minute):
 	}
-	return nil, 0, errors.New("cut")
+	return nil, revision.Revision{}, errors.New("cut")
 }
 
-func (s *scriptedSource) Read(ctx context.Context, _ string) ([]follower.Item, uint64, error) {
+func (s *scriptedSource) Read(ctx context.Context, _ string) ([]follower.Item, revision.Revision, error) {
 	return s.nextStep(ctx, true)
 }
 
 func (s *scriptedSource) Watch(
-	ctx context.Context, _ string, _ uint64, _ time.Duration,
-) ([]follower.Item, uint64, error) {
+	ctx context.Context, _ string, _ revision.Revision, _ time.Duration,
+) ([]follower.Item, revision.Revision, error) {
 	return s.nextStep(ctx, false)
 }
 
@@ -98,11 +99,16 @@
 	return keysPerUpdate
 }
 
+// at returns a revision of the first era.
+func at(number uint64) revision.Revision {
+	return revision.New(1, number)
+}
+
 // items returns entries with the given keys and the revisions 1, 2 and so on.
 func items(keys ...string) []follower.Item {
 	var out []follower.Item
 	for i, k := range keys {
-		out = append(out, follower.Item{Key: k, Revision: uint64(i + 1)})
+		out = append(out, follower.Item{Key: k, Revision: at(uint64(i + 1))})
 	}
 	return out
 }
@@ -111,9 +117,9 @@
 // read again.
 func TestChangesAreMissedAfterHistoryIsLost(t *testing.T) {
 	keys := runScript(t, follower.Options{}, []step{
-		{read: true, items: items("a", "b"), revision: 5},
+		{read: true, items: items("a", "b"), revision: at(5)},
 		{err: follower.ErrHistoryLost},
-		{read: true, items: items("b", "c"), revision: 9},
+		{read: true, items: items("b", "c"), revision: at(9)},
 	}, 2)
 	if last := keys[1]; last["a"] || !last["c"] {
 		t.Errorf("got keys %v after the second full read, want b and c", last)
@@ -123,8 +129,8 @@
 // Written entries must be added to the copy and removed ones deleted from it.
 func TestWriteOrRemovalIsMissed(t *testing.T) {
 	keys := runScript(t, follower.Options{}, []step{
-		{read: true, items: items("a"), revision: 5},
-		{items: []follower.Item{{Key: "b", Revision: 6}, {Key: "a", Revision: 7, Removed: true}}, revision: 7},
+		{read: true, items: items("a"), revision: at(5)},
+		{items: []follower.Item{{Key: "b", Revision: at(6)}, {Key: "a", Revision: at(7), Removed: true}}, revision: at(7)},
 	}, 2)
 	if last := keys[1]; last["a"] || !last["b"] {
 		t.Errorf("got keys %v, want only b", last)
@@ -136,11 +142,11 @@
 func TestEntriesExpiredInAnOutageAreRemovedAtOnce(t *testing.T) {
 	o := follower.Options{Removals: deferrer.Options{Grace: 300 * time.Millisecond, HeartbeatInterval: 25 * time.Millisecond}}
 	keys := runScript(t, o, []step{
-		{read: true, items: items("a", "b"), revision: 5},
+		{read: true, items: items("a", "b"), revision: at(5)},
 		{err: errors.New("down")},
-		{items: []follower.Item{{Key: "a", Revision: 6, Removed: true}, {Key: "b", Revision: 7, Removed: true}}, revision: 7},
-		{items: []follower.Item{{Key: "b", Revision: 8}}, revision: 8},
-		{revision: 8, delay: 400 * time.Millisecond},
+		{items: []follower.Item{{Key: "a", Revision: at(6), Removed: true}, {Key: "b", Revision: at(7), Removed: true}}, revision: at(7)},
+		{items: []follower.Item{{Key: "b", Revision: at(8)}}, revision: at(8)},
+		{revision: at(8), delay: 400 * time.Millisecond},
 	}, 5)
 	if afterOutage := keys[1]; !afterOutage["a"] || !afterOutage["b"] {
 		t.Errorf("got keys %v right after the outage, want a and b", afterOutage)
@@ -154,8 +160,8 @@
 func TestRemovedEntryIsKeptWithoutOutage(t *testing.T) {
 	o := follower.Options{Removals: deferrer.Options{Grace: time.Minute, HeartbeatInterval: 500 * time.Millisecond}}
 	keys := runScript(t, o, []step{
-		{read: true, items: items("a"), revision: 5},
-		{items: []follower.Item{{Key: "a", Revision: 6, Removed: true}}, revision: 6},
+		{read: true, items: items("a"), revision: at(5)},
+		{items: []follower.Item{{Key: "a", Revision: at(6), Removed: true}}, revision: at(6)},
 	}, 2)
 	if keys[1]["a"] {
 		t.Error("got a copy that still holds the removed entry a, want none")
--- a/internal/fleet/follower/removals.go
+++ b/internal/fleet/follower/removals.go
@@ -47,7 +47,7 @@
 		return
 	}
 	graceLeft := f.removals.GraceEndsAt() - f.clock()
-	f.removalEvent(keys).Uint64("revision", f.revision).Int64("grace_left_ms", graceLeft.Milliseconds()).
+	f.removalEvent(keys).Str("revision", f.revision.String()).Int64("grace_left_ms", graceLeft.Milliseconds()).
 		Msg("store: removals deferred")
 }
 
--- a/internal/fleet/follower/timed_store_test.go
+++ b/internal/fleet/follower/timed_store_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 )
 
 const (
@@ -122,51 +123,51 @@
 	}
 }
 
-func (s *timedStore) Read(ctx context.Context, _ string) ([]follower.Item, uint64, error) {
+func (s *timedStore) Read(ctx context.Context, _ string) ([]follower.Item, revision.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	calledAt := s.now()
 	sleepOr(ctx, answerTime)
 	if err := s.passOutages(ctx, calledAt); err != nil {
-		return nil, 0, err
+		return nil, revision.Revision{}, err
 	}
 	entries := map[string]follower.Item{}
-	revision := s.revision()
-	for i, c := range s.changes[:revision] {
+	latest := s.revision()
+	for i, c := range s.changes[:latest] {
 		delete(entries, c.key)
 		if !c.removed {
-			entries[c.key] = follower.Item{Key: c.key, Revision: uint64(i + 1)}
+			entries[c.key] = follower.Item{Key: c.key, Revision: at(uint64(i + 1))}
 		}
 	}
 	var items []follower.Item
 	for _, i := range entries {
 		items = append(items, i)
 	}
-	return items, revision, nil
+	return items, at(latest), nil
 }
 
 func (s *timedStore) Watch(
-	ctx context.Context, _ string, after uint64, wait time.Duration,
-) ([]follower.Item, uint64, error) {
+	ctx context.Context, _ string, after revision.Revision, wait time.Duration,
+) ([]follower.Item, revision.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	calledAt := s.now()
 	for {
 		if err := s.passOutages(ctx, calledAt); err != nil {
-			return nil, 0, err
+			return nil, revision.Revision{}, err
 		}
-		if s.revision() > after || s.now()-calledAt >= wait {
+		if s.revision() > after.Number || s.now()-calledAt >= wait {
 			break
 		}
 		sleepOr(ctx, s.nextEventBefore(calledAt+wait)-s.now())
 	}
-	revision := s.revision()
+	latest := s.revision()
 	var items []follower.Item
-	for i := after; i < revision; i++ {
-		items = append(items, follower.Item{Key: s.changes[i].key, Revision: i + 1, Removed: s.changes[i].removed})
+	for i := after.Number; i < latest; i++ {
+		items = append(items, follower.Item{Key: s.changes[i].key, Revision: at(i + 1), Removed: s.changes[i].removed})
 	}
 	sleepOr(ctx, answerTime)
-	return items, revision, ctx.Err()
+	return items, at(latest), ctx.Err()
 }
 
 // view is the copy of a Follower over time.
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 	"github.com/pistachiovane/pistachiovane/pkg/endpoint"
 )
 
@@ -55,7 +56,7 @@
 // Entry is an endpoint under its key in the store, as of a revision of the store.
 type Entry struct {
 	Key      string
-	Revision uint64
+	Revision revision.Revision
 	// Removed is true if the entry was removed; Endpoint is empty then.
 	Removed  bool
 	Endpoint Endpoint
@@ -93,7 +94,7 @@
 // without a change of the endpoint, such as a heartbeat, is stored but is no change.
 func (l *Lister) Apply(e Entry, now time.Duration) bool {
 	old, known := l.entries[e.Key]
-	if known && e.Revision < old.Revision {
+	if known && e.Revision.Number < old.Revision.Number {
 		return false
 	}
 	l.entries[e.Key] = e
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -6,18 +6,24 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 )
 
+// rev returns a revision of the first era.
+func rev(number uint64) revision.Revision {
+	return revision.New(1, number)
+}
+
 // Entries from the store and from peers arrive in any order. An older entry must not restore a removed endpoint.
 func TestOlderRevisionRestoresRemovedEndpoint(t *testing.T) {
 	l := lister.New()
-	if !l.Apply(lister.Entry{Key: "a", Revision: 5, Endpoint: lister.Endpoint{ID: "a"}}, 0) {
+	if !l.Apply(lister.Entry{Key: "a", Revision: rev(5), Endpoint: lister.Endpoint{ID: "a"}}, 0) {
 		t.Fatal("got no change for a new endpoint, want one")
 	}
-	if !l.Apply(lister.Entry{Key: "a", Revision: 7, Removed: true}, 0) {
+	if !l.Apply(lister.Entry{Key: "a", Revision: rev(7), Removed: true}, 0) {
 		t.Fatal("got no change for a removal, want one")
 	}
-	if l.Apply(lister.Entry{Key: "a", Revision: 6, Endpoint: lister.Endpoint{ID: "a", Leaving: true}}, 0) {
+	if l.Apply(lister.Entry{Key: "a", Revision: rev(6), Endpoint: lister.Endpoint{ID: "a", Leaving: true}}, 0) {
 		t.Error("got a change for an entry older than the removal, want none")
 	}
 	if len(l.Endpoints()) != 0 {
@@ -29,8 +35,8 @@
 // fill the messages.
 func TestHeartbeatCountsAsChange(t *testing.T) {
 	l := lister.New()
-	l.Apply(lister.Entry{Key: "a", Revision: 5, Endpoint: lister.Endpoint{ID: "a"}}, 0)
-	if l.Apply(lister.Entry{Key: "a", Revision: 6, Endpoint: lister.Endpoint{ID: "a"}}, time.Second) {
+	l.Apply(lister.Entry{Key: "a", Revision: rev(5), Endpoint: lister.Endpoint{ID: "a"}}, 0)
+	if l.Apply(lister.Entry{Key: "a", Revision: rev(6), Endpoint: lister.Endpoint{ID: "a"}}, time.Second) {
 		t.Error("got a change for a heartbeat, want none")
 	}
 	if got := l.NextChanges(10); len(got) != 0 {
@@ -42,7 +48,7 @@
 func applyRange(l *lister.Lister, from, to int, at time.Duration) {
 	for i := from; i < to; i++ {
 		key := strconv.Itoa(i)
-		l.Apply(lister.Entry{Key: key, Revision: uint64(i + 1), Endpoint: lister.Endpoint{ID: key}}, at) //nolint:gosec // i >= 0
+		l.Apply(lister.Entry{Key: key, Revision: rev(uint64(i + 1)), Endpoint: lister.Endpoint{ID: key}}, at) //nolint:gosec // i >= 0
 	}
 }
 
@@ -98,17 +104,17 @@
 	if a.Digest() == b.Digest() {
 		t.Error("got equal digests although an endpoint is missing")
 	}
-	b.Apply(lister.Entry{Key: "9", Revision: 40, Endpoint: lister.Endpoint{ID: "9", Leaving: true}}, 0)
+	b.Apply(lister.Entry{Key: "9", Revision: rev(40), Endpoint: lister.Endpoint{ID: "9", Leaving: true}}, 0)
 	if a.Digest() == b.Digest() {
 		t.Error("got equal digests although an endpoint is leaving in one list")
 	}
-	b.Apply(lister.Entry{Key: "9", Revision: 41, Endpoint: lister.Endpoint{ID: "9"}}, 0)
+	b.Apply(lister.Entry{Key: "9", Revision: rev(41), Endpoint: lister.Endpoint{ID: "9"}}, 0)
 	if a.Digest() != b.Digest() {
 		t.Error("got different digests of equal lists")
 	}
 	for _, l := range []*lister.Lister{a, b} {
 		for i := range 10 {
-			l.Apply(lister.Entry{Key: strconv.Itoa(i), Revision: 50, Removed: true}, time.Second)
+			l.Apply(lister.Entry{Key: strconv.Itoa(i), Revision: rev(50), Removed: true}, time.Second)
 		}
 		l.DropRemoved(time.Second, time.Minute)
 		if l.Digest() != lister.New().Digest() {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -255,7 +255,7 @@
 	}
 	config, err := d.dependencies.DecodeConfig(item.Value)
 	if err != nil {
-		d.log.Error().Err(err).Uint64("revision", item.Revision).Msg("config: not understood")
+		d.log.Error().Err(err).Str("revision", item.Revision.String()).Msg("config: not understood")
 		return
 	}
 	m := matcher.New(config)
@@ -266,7 +266,7 @@
 	d.mu.Lock()
 	d.revoker.Activate(m, clock.SinceBoot())
 	d.mu.Unlock()
-	d.log.Info().Uint64("version", m.Version()).Uint64("revision", item.Revision).Int("routes", len(config.Routes)).
+	d.log.Info().Uint64("version", m.Version()).Str("revision", item.Revision.String()).Int("routes", len(config.Routes)).
 		Int("accounts", len(config.Accounts)).Msg("config: in force")
 }
 
@@ -326,7 +326,7 @@
 		return
 	}
 	for _, c := range changed {
-		d.log.Info().Str("key", c.Key).Str("from", source).Uint64("revision", c.Revision).Bool("gone", c.Removed).
+		d.log.Info().Str("key", c.Key).Str("from", source).Str("revision", c.Revision.String()).Bool("gone", c.Removed).
 			Str("address", c.Endpoint.Address).Str("service", c.Endpoint.Service).Bool("prefill", c.Endpoint.Prefill).
 			Bool("leaving", c.Endpoint.Leaving).Msg("list: endpoint")
 	}
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -7,6 +7,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/deferrer"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 )
 
@@ -71,7 +72,7 @@
 func (d *Daemon) composeList(m *broadcaster.Message, now time.Duration) {
 	d.lister.DropRemoved(removalRetention, now)
 	for _, c := range d.lister.NextChanges(maxChangesPerMessage) {
-		entry := broadcaster.EndpointChange{Key: c.Key, Revision: c.Revision, Removed: c.Removed}
+		entry := broadcaster.EndpointChange{Key: c.Key, Revision: c.Revision.Number, Removed: c.Removed}
 		if !c.Removed {
 			endpoint := c.Endpoint
 			entry.Endpoint = &endpoint
@@ -147,7 +148,7 @@
 // entryOf returns the entry of a change that a peer sent. An endpoint to which requests can't be sent counts as removed,
 // as it does when it is read from the store.
 func (d *Daemon) entryOf(c broadcaster.EndpointChange, from string) lister.Entry {
-	removed := lister.Entry{Key: c.Key, Revision: c.Revision, Removed: true}
+	removed := lister.Entry{Key: c.Key, Revision: revision.New(0, c.Revision), Removed: true}
 	if c.Removed || c.Endpoint == nil {
 		return removed
 	}
@@ -155,7 +156,7 @@
 		d.log.Warn().Str("key", c.Key).Str("from", from).Err(err).Msg("list: entry not understood")
 		return removed
 	}
-	return lister.Entry{Key: c.Key, Revision: c.Revision, Endpoint: *c.Endpoint}
+	return lister.Entry{Key: c.Key, Revision: removed.Revision, Endpoint: *c.Endpoint}
 }
 
 // Receive applies a message of a peer: its state to the controller and its changes to the endpoint list. It also checks
--- a/internal/process/daemon/state.go
+++ b/internal/process/daemon/state.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
+	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/proxy/forwarder"
 	"github.com/pistachiovane/pistachiovane/service/meter"
 )
@@ -33,15 +35,40 @@
 	// said themselves that they leave.
 	PausedEndpoints  int `json:"paused"`
 	LeavingEndpoints int `json:"leaving"`
+	// Config and List are the copies of the configuration and of the endpoint list.
+	Config StoreState `json:"config"`
+	List   StoreState `json:"list"`
 	// AvailableTokens holds the available tokens by account.
 	AvailableTokens map[string]float64 `json:"levels"`
 }
 
+// StoreState is the copy of a part of the store.
+type StoreState struct {
+	// Era counts the restores of the store, and EraAgeMS is the time in ms since this gateway has known of the latest.
+	Era      uint64 `json:"era"`
+	EraAgeMS int64  `json:"era_age_ms"`
+	// Revision is the number of the store's latest change that the copy holds.
+	Revision uint64 `json:"revision"`
+	// Reads counts the reads of the whole part, and LateAnswers the answers of an earlier era, which were not used.
+	Reads       uint64 `json:"reads"`
+	LateAnswers uint64 `json:"late"`
+}
+
+// storeState returns the state of a copy.
+func storeState(f *follower.Follower) StoreState {
+	s := f.Status()
+	return StoreState{
+		Era: s.Revision.Era, EraAgeMS: (clock.SinceBoot() - s.EraSince).Milliseconds(), Revision: s.Revision.Number,
+		Reads: s.Reads, LateAnswers: s.LateAnswers,
+	}
+}
+
 // State returns the current State. It holds no secrets.
 func (d *Daemon) State() any {
 	state := State{
 		Name: d.options.Name, Ready: d.Ready(), OpenRequests: d.controller.Requests().Len(),
 		QueuedGenerations: d.controller.QueueLength(), AvailableTokens: d.controller.AvailableTokens(),
+		Config: storeState(d.configFollower), List: storeState(d.endpointFollower),
 	}
 	state.PausedEndpoints, state.LeavingEndpoints = d.controller.SuspendedEndpoints()
 	for _, f := range d.controller.QuarantinedRequests() {
@@ -101,6 +128,12 @@
 		}),
 		gauge("gateways", "Gateways known.", func() float64 { return float64(d.broadcaster.GatewayCount()) }),
 		gauge("config.version", "Version of the configuration in force.", d.configVersion),
+		gauge("store.era", "Restores of the store before the configuration in force was read.", func() float64 {
+			return float64(d.configFollower.Status().Revision.Era)
+		}),
+		counter("store.eras", "Reads of the configuration or the endpoint list that found the store restored.", d.storeEras),
+		counter("store.reads", "Reads of the whole configuration or endpoint list.", d.storeReads),
+		counter("store.late", "Answers of the store that were of an earlier era and not used.", d.lateStoreAnswers),
 		gauge("config.age", "Seconds since the configuration was known to be the newest.", d.configAge),
 	}
 }
@@ -116,3 +149,17 @@
 	_, age := d.tracker.Active()
 	return age.Round(time.Millisecond).Seconds()
 }
+
+// storeEras returns how often the store was found restored, storeReads how often a part of it was read as a whole, and
+// lateStoreAnswers how many of its answers were of an earlier era.
+func (d *Daemon) storeEras() uint64 {
+	return d.configFollower.Status().Eras + d.endpointFollower.Status().Eras
+}
+
+func (d *Daemon) storeReads() uint64 {
+	return d.configFollower.Status().Reads + d.endpointFollower.Status().Reads
+}
+
+func (d *Daemon) lateStoreAnswers() uint64 {
+	return d.configFollower.Status().LateAnswers + d.endpointFollower.Status().LateAnswers
+}
