An entry with the number that it had in an earlier era has changed

Cause: the store came back from a copy, and the version without the key got the number that the version before it had had in the old era. After its full read, follower.replaceItems compared the numbers alone and took the configuration for unchanged, so that the old one counted as confirmed.

Change: it compares the whole revision, with the era.

No two entries share an era and a number, so equality now means the same write.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -262,7 +262,7 @@
 	for _, i := range items {
 		newItems[i.Key] = i
 		f.removals.Cancel(i.Key)
-		if old, ok := f.items[i.Key]; !ok || old.Revision.Number != i.Revision.Number {
+		if old, ok := f.items[i.Key]; !ok || old.Revision != i.Revision {
 			changed = append(changed, i.Key)
 		}
 	}
--- a/internal/fleet/follower/follower_test.go
+++ b/internal/fleet/follower/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -66,19 +67,30 @@
 // runScript runs a Follower on a script until it has made wantUpdates updates, and returns the keys after each update.
 func runScript(t *testing.T, o follower.Options, steps []step, wantUpdates int) []map[string]bool {
 	t.Helper()
-	o.Pace = func() (time.Duration, time.Duration) { return 10 * time.Millisecond, 0 }
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
 	var keysPerUpdate []map[string]bool
-	done := make(chan struct{})
-	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
-	f := follower.New(&scriptedSource{steps: steps}, o, clock.SinceBoot, logger, func(u follower.Update) {
+	for _, u := range runUpdates(t, o, steps, wantUpdates) {
 		keys := map[string]bool{}
 		for k := range u.Items {
 			keys[k] = true
 		}
 		keysPerUpdate = append(keysPerUpdate, keys)
-		if len(keysPerUpdate) == wantUpdates {
+	}
+	return keysPerUpdate
+}
+
+// runUpdates is runScript and returns the updates, each with a copy of the items.
+func runUpdates(t *testing.T, o follower.Options, steps []step, wantUpdates int) []follower.Update {
+	t.Helper()
+	o.Pace = func() (time.Duration, time.Duration) { return 10 * time.Millisecond, 0 }
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var updates []follower.Update
+	done := make(chan struct{})
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	f := follower.New(&scriptedSource{steps: steps}, o, clock.SinceBoot, logger, func(u follower.Update) {
+		u.Items = maps.Clone(u.Items)
+		updates = append(updates, u)
+		if len(updates) == wantUpdates {
 			close(done)
 			cancel()
 		}
@@ -93,10 +105,10 @@
 	case <-ctx.Done():
 	}
 	<-stopped
-	if len(keysPerUpdate) < wantUpdates {
-		t.Fatalf("got %d updates, want %d", len(keysPerUpdate), wantUpdates)
+	if len(updates) < wantUpdates {
+		t.Fatalf("got %d updates, want %d", len(updates), wantUpdates)
 	}
-	return keysPerUpdate
+	return updates
 }
 
 // at returns a revision of the first era.
