Entries of the endpoint list are ordered by era before number

Cause: the store came back from a copy 8 s old and counted on from there. The removal had a lower number than the entry had had in the old era, and lister.Apply, which compares numbers, dropped it. Nothing repeats a removal.

Change: lister compares whole revisions. Once the list of an era has been read, entries of earlier ones are not taken over, so that peers which have not read it yet bring nothing back. Messages between gateways carry the era beside the number (new field era of a change; builds without it send era 0, whose changes are left to the own read). A full read of the list is now one call, lister.Replace.

Evidence: TestRemovalOfLaterEraIsDroppedForItsLowerNumber, TestPeerOfLaterEraIsIgnoredForItsLowerNumber, TestPeerBringsBackEntryOfEarlierEra and TestEdgeSendsRequestsToEndpointThatLeftAfterDrill (both gateways list the endpoint 2 s after its removal) failed with the comparison of numbers and pass.

--- a/cmd/pistachiovane/cmds/edge_drill_test.go
+++ b/cmd/pistachiovane/cmds/edge_drill_test.go
@@ -4,10 +4,25 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/pistachiovane/pistachiovane/platform/standin"
+)
+
+const (
+	// maxApplyTime is the time within which a gateway must follow what the store has confirmed.
+	maxApplyTime = 2 * time.Second
+	// settleTime is the time after a drill from which that binds.
+	settleTime = 3 * time.Second
 )
 
-// maxApplyTime is the time within which a gateway must follow what the store has confirmed.
-const maxApplyTime = 2 * time.Second
+// addDrillGateways starts two further gateways, which know how often endpoints write their entries, and returns them.
+func (env *testEnv) addDrillGateways() []*testGateway {
+	env.t.Helper()
+	env.settings.HeartbeatInterval = 1200 * time.Millisecond
+	env.addGateway()
+	env.addGateway()
+	return env.gateways[1:]
+}
 
 // writeFiller writes entries that no gateway uses, so that the number of the store's revision rises.
 func (env *testEnv) writeFiller(entries int) {
@@ -62,3 +77,42 @@
 		}
 	}
 }
+
+// restoreWithEntries makes the store go away and come back from a copy. What the endpoints wrote is written again.
+func (env *testEnv) restoreWithEntries(copied standin.Copy) {
+	env.store.SetDown(true)
+	time.Sleep(300 * time.Millisecond)
+	env.store.Restore(copied)
+	for _, e := range env.serviceEndpoints {
+		env.store.Put(e.StoreEntry("ready"))
+	}
+	for _, e := range env.modelEndpoints {
+		env.store.Put(e.StoreEntry("ready"))
+	}
+}
+
+// After a drill, the removal of an endpoint has a lower number than its entry had in the old era. It was dropped, and the endpoint
+// got requests until it exited (review/8).
+func TestEdgeSendsRequestsToEndpointThatLeftAfterDrill(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	gateways := env.addDrillGateways()
+	copied := env.store.Copy()
+	env.writeFiller(50)
+	for _, e := range env.serviceEndpoints {
+		env.store.Put(e.StoreEntry("ready"))
+	}
+	env.waitForRevision()
+	env.restoreWithEntries(copied)
+	for _, g := range env.gateways {
+		env.waitFor(func() bool { return g.state().List.Era == 2 }, "all gateways should have read the restored list")
+	}
+	time.Sleep(settleTime)
+	env.store.Remove("servers/s2")
+	time.Sleep(maxApplyTime)
+	for n, g := range gateways {
+		if g.lists("s2") {
+			t.Errorf("gateway %d lists an endpoint that was removed %v ago; log:\n%s", n, maxApplyTime, env.linesWith("list:", "store:"))
+		}
+	}
+}
--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -90,7 +90,8 @@
 // EndpointChange is a change of the endpoint list that the sender has read from the store or received from a peer.
 type EndpointChange struct {
 	Key string `json:"k"`
-	// Revision is the revision of the store that made the change.
+	// Era and Revision are the era and the number of the revision of the store that made the change.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"r"`
 	// Removed is true if the entry was removed; Endpoint is nil then.
 	Removed  bool             `json:"g,omitempty"`
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -62,9 +62,12 @@
 	Endpoint Endpoint
 }
 
-// Lister holds the newest known entry of each key. Of two entries the one with the higher revision wins, whether it was
+// Lister holds the newest known entry of each key. Of two entries the one with the newer revision wins, whether it was
 // read from the store or received from a peer. It is not safe for concurrent use.
 type Lister struct {
+	// era is the latest era of the store of which the whole list has been read. Entries of earlier ones are not taken over.
+	era uint64
+
 	// entries holds the listed endpoints, and the removed ones for a while so that older entries cannot restore them.
 	entries map[string]Entry
 	// removedAt holds, by key, when entries were removed.
@@ -90,11 +93,37 @@
 	return &Lister{entries: map[string]Entry{}, removedAt: map[string]time.Duration{}, unsent: map[string]unsentChange{}}
 }
 
-// Apply stores an entry unless a newer one is known, and returns whether the list of endpoints changed. A new revision
-// without a change of the endpoint, such as a heartbeat, is stored but is no change.
+// Replace applies a read of the whole list: the store holds entries and no others at a revision. Entries may also hold some that
+// the reader keeps although the store has removed them, as of their own revisions. It returns the entries that changed.
+func (l *Lister) Replace(entries []Entry, at revision.Revision, now time.Duration) (changed []Entry) {
+	l.era = max(l.era, at.Era)
+	read := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		read[e.Key] = true
+	}
+	for _, key := range l.Keys() {
+		if !read[key] {
+			entries = append(entries, Entry{Key: key, Revision: at, Removed: true})
+		}
+	}
+	return l.ApplyAll(entries, now)
+}
+
+// ApplyAll calls Apply with each entry and returns those that changed the list of endpoints.
+func (l *Lister) ApplyAll(entries []Entry, now time.Duration) (changed []Entry) {
+	for _, e := range entries {
+		if l.Apply(e, now) {
+			changed = append(changed, e)
+		}
+	}
+	return changed
+}
+
+// Apply stores an entry unless a newer one is known or the list has been read in a later era, and returns whether the list of
+// endpoints changed. A new revision without a change of the endpoint, such as a heartbeat, is stored but is no change.
 func (l *Lister) Apply(e Entry, now time.Duration) bool {
 	old, known := l.entries[e.Key]
-	if known && e.Revision.Number < old.Revision.Number {
+	if e.Revision.Era < l.era || known && e.Revision.Compare(old.Revision) < 0 {
 		return false
 	}
 	l.entries[e.Key] = e
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -122,3 +122,37 @@
 		}
 	}
 }
+
+// A store that was restored counts on from an older copy. The removal of an endpoint, with a number lower than that of the
+// endpoint's entry in the old era, was dropped, and requests went on to it (review/8).
+func TestRemovalOfLaterEraIsDroppedForItsLowerNumber(t *testing.T) {
+	running := lister.Endpoint{ID: "a"}
+	l := lister.New()
+	l.Replace([]lister.Entry{{Key: "a", Revision: revision.New(1, 40), Endpoint: running}}, revision.New(1, 42), 0)
+	l.Replace([]lister.Entry{{Key: "a", Revision: revision.New(2, 21), Endpoint: running}}, revision.New(2, 24), 0)
+	if !l.Apply(lister.Entry{Key: "a", Revision: revision.New(2, 30), Removed: true}, 0) || len(l.Endpoints()) != 0 {
+		t.Errorf("got %v after the removal in the later era, want no endpoint", l.Endpoints())
+	}
+}
+
+// A peer that has not read the restored store yet sends what it knows of the old era, with higher numbers. It must not bring back
+// what the restored store does not hold, nor replace what it holds.
+func TestPeerBringsBackEntryOfEarlierEra(t *testing.T) {
+	l := lister.New()
+	l.Replace(nil, revision.New(2, 24), 0)
+	l.Apply(lister.Entry{Key: "b", Revision: revision.New(2, 25), Endpoint: lister.Endpoint{ID: "b"}}, 0)
+	for _, key := range []string{"a", "b"} {
+		if l.Apply(lister.Entry{Key: key, Revision: revision.New(1, 90), Endpoint: lister.Endpoint{ID: "old"}}, 0) {
+			t.Errorf("got entry %q of the old era taken over: %v", key, l.Endpoints())
+		}
+	}
+}
+
+// A peer that has read the restored store first tells the others: its entries, with lower numbers, are newer.
+func TestPeerOfLaterEraIsIgnoredForItsLowerNumber(t *testing.T) {
+	l := lister.New()
+	l.Replace([]lister.Entry{{Key: "a", Revision: revision.New(1, 40), Endpoint: lister.Endpoint{ID: "a"}}}, revision.New(1, 42), 0)
+	if !l.Apply(lister.Entry{Key: "a", Revision: revision.New(2, 25), Endpoint: lister.Endpoint{ID: "a", Leaving: true}}, 0) {
+		t.Error("got no change for an entry of the later era, want one")
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"iter"
 	"maps"
 	"net"
 	"slices"
@@ -283,16 +284,11 @@
 	now := clock.SinceBoot()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	keys := u.ChangedKeys
-	if u.FullRead {
-		keys = append(slices.Collect(maps.Keys(u.Items)), d.lister.Keys()...)
-	}
 	var changed []lister.Entry
-	for _, key := range keys {
-		entry := d.decodeEntry(key, u)
-		if d.lister.Apply(entry, now) {
-			changed = append(changed, entry)
-		}
+	if u.FullRead {
+		changed = d.lister.Replace(d.decodeEntries(maps.Keys(u.Items), u), u.Revision, now)
+	} else {
+		changed = d.lister.ApplyAll(d.decodeEntries(slices.Values(u.ChangedKeys), u), now)
 	}
 	d.activateListChanges(changed, "store")
 	if d.listReadAt == 0 {
@@ -304,6 +300,15 @@
 	d.listConfirmer.Confirm(u.CurrentAt)
 }
 
+// decodeEntries returns the entries of keys in a store update.
+func (d *Daemon) decodeEntries(keys iter.Seq[string], u follower.Update) []lister.Entry {
+	var out []lister.Entry
+	for key := range keys {
+		out = append(out, d.decodeEntry(key, u))
+	}
+	return out
+}
+
 // decodeEntry returns the entry of a key in a store update. A missing entry counts as removed, and so does one that
 // can't be decoded.
 func (d *Daemon) decodeEntry(key string, u follower.Update) lister.Entry {
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -72,7 +72,7 @@
 func (d *Daemon) composeList(m *broadcaster.Message, now time.Duration) {
 	d.lister.DropRemoved(removalRetention, now)
 	for _, c := range d.lister.NextChanges(maxChangesPerMessage) {
-		entry := broadcaster.EndpointChange{Key: c.Key, Revision: c.Revision.Number, Removed: c.Removed}
+		entry := broadcaster.EndpointChange{Key: c.Key, Era: c.Revision.Era, Revision: c.Revision.Number, Removed: c.Removed}
 		if !c.Removed {
 			endpoint := c.Endpoint
 			entry.Endpoint = &endpoint
@@ -148,7 +148,7 @@
 // entryOf returns the entry of a change that a peer sent. An endpoint to which requests can't be sent counts as removed,
 // as it does when it is read from the store.
 func (d *Daemon) entryOf(c broadcaster.EndpointChange, from string) lister.Entry {
-	removed := lister.Entry{Key: c.Key, Revision: revision.New(0, c.Revision), Removed: true}
+	removed := lister.Entry{Key: c.Key, Revision: revision.New(c.Era, c.Revision), Removed: true}
 	if c.Removed || c.Endpoint == nil {
 		return removed
 	}
