A watch that is answered in another era reads everything anew

Cause: the follower went on watching from its revision of the old era. Once the store's number was higher, the watch was not refused with 410, and what had been written up to that number in the new era was skipped. The empty answers counted as confirmations.

Change: an answer of another era is treated like lost history. It is neither applied nor taken for a confirmation; all entries are read.

Evidence: TestWatchGoesOnFromRevisionOfEarlierEra (three cases), TestEdgeMissesVersionWrittenWhileTurnedAway (version 3 at both gateways, want 4) and TestEdgeMissesVersionOfDrillWithoutRefusedWatch (version 3 after two drills, want 5 and 6) failed before and pass.

--- a/cmd/pistachiovane/cmds/edge_drill_test.go
+++ b/cmd/pistachiovane/cmds/edge_drill_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/soak/proxier"
 	"github.com/pistachiovane/pistachiovane/platform/standin"
 )
 
@@ -116,3 +117,50 @@
 		}
 	}
 }
+
+// A gateway that the store turned away during a drill, and one that asked again only when the store had passed its revision, watched
+// on from the old era. They missed a version for good (review/9).
+func TestEdgeMissesVersionWrittenWhileTurnedAway(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	path := env.addGatewayBehind()
+	copied := env.store.Copy()
+	env.writeFiller(20)
+	env.waitForRevision()
+	path.SetFault(proxier.Silence)
+	env.restoreWithEntries(copied)
+	env.putConfig(4, `"key","other"`)
+	env.writeFiller(30)
+	time.Sleep(time.Second)
+	path.SetFault(proxier.None)
+	time.Sleep(settleTime + maxApplyTime)
+	for n, g := range env.gateways {
+		if v := g.state().ConfigVersion; v != 4 {
+			t.Errorf("gateway %d has version %d, want 4; log:\n%s", n, v, env.linesWith("config:", "store:"))
+		}
+	}
+}
+
+// After a drill, what the operator and the endpoints write at once may take the store past the revision from which gateways
+// watched, so that no watch is refused. All gateways missed the version.
+func TestEdgeMissesVersionOfDrillWithoutRefusedWatch(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	gateways := env.addDrillGateways()
+	for drill := range uint64(2) {
+		copied := env.store.Copy()
+		env.writeFiller(20)
+		env.waitForRevision()
+		env.store.SetDown(true)
+		time.Sleep(300 * time.Millisecond)
+		env.store.Restore(copied)
+		env.putConfig(int(5+drill), `"key","other"`) //nolint:gosec // a small number
+		env.writeFiller(30)
+		time.Sleep(maxApplyTime)
+		for n, g := range gateways {
+			if v := g.state().ConfigVersion; v != 5+drill {
+				t.Errorf("drill %d: gateway %d has version %d, want %d; log:\n%s", drill, n, v, 5+drill, env.linesWith("config:", "store:"))
+			}
+		}
+	}
+}
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -25,3 +25,24 @@
 		t.Errorf("got changed keys %v after a restore, want the entry, whose number is of another era", last.ChangedKeys)
 	}
 }
+
+// A gateway that the store turned away during a drill watched on from a revision of the old era. Once the store had passed that
+// number again, nothing told it that it had missed everything in between (review/9).
+func TestWatchGoesOnFromRevisionOfEarlierEra(t *testing.T) {
+	for name, watched := range map[string]step{
+		"without changes": {revision: revision.New(2, 90)},
+		"with changes":    {items: []follower.Item{itemOf("b", "", 2, 90)}, revision: revision.New(2, 90)},
+		"third era":       {revision: revision.New(3, 90)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			updates := runUpdates(t, follower.Options{}, []step{
+				{read: true, items: []follower.Item{itemOf("config", "3", 1, 2)}, revision: revision.New(1, 85)},
+				watched,
+				{read: true, items: []follower.Item{itemOf("config", "4", watched.revision.Era, 34)}, revision: watched.revision},
+			}, 2)
+			if last := updates[1]; !last.FullRead || string(last.Items["config"].Value) != "4" {
+				t.Errorf("got update %+v after an answer of another era, want a read of all entries", last)
+			}
+		})
+	}
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -194,8 +194,7 @@
 		return a.err
 	}
 	f.recordSuccess()
-	f.logEra(a.revision, len(a.items))
-	f.status.recordRead(a.revision, f.clock())
+	f.enterEra(a.revision)
 	f.replaceItems(a.items, a.revision, startedAt)
 	return nil
 }
@@ -217,16 +216,14 @@
 	switch {
 	case errors.Is(a.err, errRefreshRequested):
 		return false, nil
-	case errors.Is(a.err, ErrHistoryLost):
-		f.log.Warn().Str("prefix", f.options.Prefix).Str("revision", f.revision.String()).
-			Msg("store: history lost, reading anew")
-		f.synced = false
+	case errors.Is(a.err, ErrHistoryLost), a.err == nil && a.revision.Era != f.revision.Era:
+		// Changes of another era are no continuation of the copy, and that there are none confirms nothing.
+		f.loseHistory(a.revision.Era)
 		return false, nil
 	case a.err != nil:
 		return false, a.err
 	}
 	f.recordSuccess()
-	f.logEra(a.revision, len(a.items))
 	if len(a.items) == 0 && f.clock()-startedAt >= wait {
 		// No changes were found for the whole wait, so the copy was complete until its end.
 		startedAt += wait
