An answer of an earlier era of the store is not used

What callers could have seen: an instance of the store that was replaced in a drill may go on answering for a moment. A full read from it brought back the old configuration and counted as a confirmation.

Cause: the follower took any answer for the present state of the store.

Change: an answer of an earlier era than that of the copy is a failed call, which is repeated. It is counted (store.late) and logged (store: answer of an earlier era). A store whose era stays lower, or that names none any more, confirms nothing until it is back: gateways keep what they have and cease to be ready.

Evidence: TestAnswerOfEarlierEraIsApplied (four cases) failed before: the full read replaced the copy, and a watch was taken for a later era.

--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -1,6 +1,23 @@
 package follower
 
-import "github.com/pistachiovane/pistachiovane/internal/fleet/revision"
+import (
+	"github.com/pkg/errors"
+
+	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
+)
+
+// errEarlierEra is wrapped by the error of an answer that is of an earlier era than the copy.
+var errEarlierEra = errors.New("store: answer of an earlier era")
+
+// checkEra returns the error of an answer, or errEarlierEra if it is older than the copy: an instance of the store that was
+// replaced may go on answering. Such an answer says nothing of the present.
+func (f *Follower) checkEra(a answer) error {
+	if a.err != nil || a.revision.Era >= f.revision.Era {
+		return a.err
+	}
+	f.status.recordLateAnswer()
+	return errors.Wrapf(errEarlierEra, "answer %s to a copy of %s", a.revision, f.revision)
+}
 
 // loseHistory makes the next step read all entries: the store no longer holds the changes since the copy's revision, or it has
 // been restored and is in another era.
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -46,3 +46,25 @@
 		})
 	}
 }
+
+// An answer of the old era may arrive after one of the new era, from an instance of the store that was replaced. It must not bring
+// back what it holds, nor confirm anything.
+func TestAnswerOfEarlierEraIsApplied(t *testing.T) {
+	first := step{read: true, items: []follower.Item{itemOf("config", "5", 2, 20)}, revision: revision.New(2, 21)}
+	old := []follower.Item{itemOf("config", "4", 1, 90)}
+	last := step{items: []follower.Item{itemOf("b", "", 2, 22)}, revision: revision.New(2, 22)}
+	for name, steps := range map[string][]step{
+		"changes":      {first, {items: old, revision: revision.New(1, 90)}, last},
+		"no changes":   {first, {revision: revision.New(1, 90)}, last},
+		"full read":    {first, {err: follower.ErrHistoryLost}, {read: true, items: old, revision: revision.New(1, 90)}, {read: true, items: first.items, revision: revision.New(2, 21)}},
+		"without eras": {first, {items: []follower.Item{itemOf("config", "4", 0, 90)}, revision: revision.New(0, 90)}, last},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, u := range runUpdates(t, follower.Options{}, steps, 2) {
+				if u.Revision.Era != 2 || string(u.Items["config"].Value) != "5" {
+					t.Errorf("got update %+v after an answer of an earlier era, want that of era 2 alone", u)
+				}
+			}
+		})
+	}
+}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -190,8 +190,8 @@
 		items, at, err := f.source.Read(ctx, f.options.Prefix)
 		return answer{items: items, revision: at, err: err}
 	}, nil)
-	if a.err != nil {
-		return a.err
+	if err := f.checkEra(a); err != nil {
+		return err
 	}
 	f.recordSuccess()
 	f.enterEra(a.revision)
@@ -213,15 +213,16 @@
 		items, at, err := f.source.Watch(ctx, f.options.Prefix, f.revision, wait)
 		return answer{items: items, revision: at, err: err}
 	}, f.refresh)
+	err = f.checkEra(a)
 	switch {
-	case errors.Is(a.err, errRefreshRequested):
+	case errors.Is(err, errRefreshRequested):
 		return false, nil
-	case errors.Is(a.err, ErrHistoryLost), a.err == nil && a.revision.Era != f.revision.Era:
-		// Changes of another era are no continuation of the copy, and that there are none confirms nothing.
+	case errors.Is(err, ErrHistoryLost), err == nil && a.revision.Era > f.revision.Era:
+		// Changes of a later era are no continuation of the copy, and that there are none confirms nothing.
 		f.loseHistory(a.revision.Era)
 		return false, nil
-	case a.err != nil:
-		return false, a.err
+	case err != nil:
+		return false, err
 	}
 	f.recordSuccess()
 	if len(a.items) == 0 && f.clock()-startedAt >= wait {
