Entries of the seconds that a drill loses are kept until they can be written again

What callers could have seen: after a drill shorter than two heartbeats, endpoints that had registered in the lost seconds were dropped until they wrote again, so that requests were refused for want of room.

Cause: removals were deferred only after an outage, told by its length. A restored store lacks entries however short it was away.

Change: the first read of an era starts the same grace time as the return of the store after an outage.

--- a/internal/fleet/deferrer/deferrer.go
+++ b/internal/fleet/deferrer/deferrer.go
@@ -62,12 +62,24 @@
 		d.extendExpired(now)
 	}
 	if lostInGrace || silence >= d.options.MinOutage() {
-		d.returnedAt = now
-		d.graceEndsAt = now + d.options.Grace
+		d.startGrace(now)
 	}
 	return silence
 }
 
+// RecordRestore records that the store was found restored from a copy. Whatever was written after the copy is missing until its
+// owners write it again, as after an outage.
+func (d *Deferrer) RecordRestore(now time.Duration) {
+	d.extendExpired(now)
+	d.startGrace(now)
+}
+
+// startGrace starts the grace time after a return of the store at now.
+func (d *Deferrer) startGrace(now time.Duration) {
+	d.returnedAt = now
+	d.graceEndsAt = now + d.options.Grace
+}
+
 // extendExpired defers the removal of expired entries until the grace time after a return of the store at now ends.
 func (d *Deferrer) extendExpired(now time.Duration) {
 	for key, r := range d.removals {
--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -27,11 +27,12 @@
 	f.synced = false
 }
 
-// enterEra records a read of all entries, which may be the first one of an era.
+// enterEra records a read of all entries, which may be the first one of an era. Entries that are missing then are kept for a while.
 func (f *Follower) enterEra(at revision.Revision) {
 	if f.status.get().Reads > 0 && at.Era != f.revision.Era {
 		f.log.Warn().Str("prefix", f.options.Prefix).Str("previous", f.revision.String()).Str("revision", at.String()).
 			Msg("store: new era")
+		f.removals.RecordRestore(f.clock())
 	}
 	f.status.recordRead(at, f.clock())
 }
--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -3,7 +3,9 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/deferrer"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 )
@@ -68,3 +70,23 @@
 		})
 	}
 }
+
+// What endpoints wrote in the seconds that a drill loses is not in the restored store until they write it again. They must not be
+// dropped meanwhile, and no longer be kept than after an outage. The drill is too short here to count as one.
+func TestEndpointOfLostSecondsIsDroppedAtOnce(t *testing.T) {
+	o := follower.Options{Removals: deferrer.Options{Grace: 300 * time.Millisecond, HeartbeatInterval: 5 * time.Second}}
+	both := []follower.Item{itemOf("a", "", 1, 20), itemOf("new", "", 1, 29), itemOf("gone", "", 1, 30)}
+	updates := runUpdates(t, o, []step{
+		{read: true, items: both, revision: revision.New(1, 30)},
+		{revision: revision.New(2, 22)},
+		{read: true, items: both[:1], revision: revision.New(2, 22)},
+		{items: []follower.Item{itemOf("new", "", 2, 23)}, revision: revision.New(2, 23)},
+		{revision: revision.New(2, 23), delay: 400 * time.Millisecond},
+	}, 5)
+	if kept := updates[1].Items; len(kept) != 3 {
+		t.Errorf("got entries %v after the restore, want those of the lost seconds kept", kept)
+	}
+	if last := updates[4].Items; len(last) != 2 || last["gone"].Key != "" {
+		t.Errorf("got entries %v after the grace time, want all but the one that was not written again", last)
+	}
+}
