An endpoint that only peers have told of is kept through a restore

What callers could have seen: most gateways of a large fleet learn of new endpoints from peers. After a drill that had lost such an endpoint's entry, each dropped it with its first read, until the endpoint had written its entry again and the readers had told so.

Cause: the grace time after a restore is the follower's, which knows only what it has read itself.

Change: the first read of an era holds the removal of endpoints of the era before for that grace time (lister.hold). The log says so: list: restored entries held.

--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -68,10 +68,13 @@
 	// era is the latest era of the store of which the whole list has been read. Entries of earlier ones are not taken over.
 	era uint64
 
+	options Options
 	// entries holds the listed endpoints, and the removed ones for a while so that older entries cannot restore them.
 	entries map[string]Entry
 	// removedAt holds, by key, when entries were removed.
 	removedAt map[string]time.Duration
+	// held holds entries of a restored store that are not to be applied yet.
+	held map[string]heldEntry
 	// unsent holds, by key, the changes that are still to be sent to peers.
 	unsent map[string]unsentChange
 	// sentChanges counts the calls of Send.
@@ -89,24 +92,35 @@
 }
 
 // New returns an empty Lister.
-func New() *Lister {
-	return &Lister{entries: map[string]Entry{}, removedAt: map[string]time.Duration{}, unsent: map[string]unsentChange{}}
+func New(o Options) *Lister {
+	return &Lister{
+		options: o, entries: map[string]Entry{}, removedAt: map[string]time.Duration{}, held: map[string]heldEntry{},
+		unsent: map[string]unsentChange{},
+	}
 }
 
 // Replace applies a read of the whole list: the store holds entries and no others at a revision. Entries may also hold some that
-// the reader keeps although the store has removed them, as of their own revisions. It returns the entries that changed.
+// the reader keeps although the store has removed them, as of their own revisions. If the store was restored, some entries are
+// held first. It returns the entries that changed.
 func (l *Lister) Replace(entries []Entry, at revision.Revision, now time.Duration) (changed []Entry) {
 	l.era = max(l.era, at.Era)
 	read := make(map[string]bool, len(entries))
+	var current []Entry
 	for _, e := range entries {
 		read[e.Key] = true
+		current = append(current, e)
 	}
 	for _, key := range l.Keys() {
-		if !read[key] {
-			entries = append(entries, Entry{Key: key, Revision: at, Removed: true})
+		absent := Entry{Key: key, Revision: at, Removed: true}
+		switch {
+		case read[key]:
+		case l.entries[key].Revision.Era < at.Era:
+			l.hold(absent, now+l.options.AbsentGrace)
+		default:
+			current = append(current, absent)
 		}
 	}
-	return l.ApplyAll(entries, now)
+	return l.ApplyAll(current, now)
 }
 
 // ApplyAll calls Apply with each entry and returns those that changed the list of endpoints.
@@ -123,9 +137,10 @@
 // endpoints changed. A new revision without a change of the endpoint, such as a heartbeat, is stored but is no change.
 func (l *Lister) Apply(e Entry, now time.Duration) bool {
 	old, known := l.entries[e.Key]
-	if e.Revision.Era < l.era || known && e.Revision.Compare(old.Revision) < 0 {
+	if e.Revision.Era < l.era || known && e.Revision.Compare(old.Revision) < 0 || l.isOlderThanHeld(e) {
 		return false
 	}
+	delete(l.held, e.Key)
 	l.entries[e.Key] = e
 	if known && old.Removed == e.Removed && old.Endpoint == e.Endpoint {
 		return false
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -9,6 +9,8 @@
 	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 )
 
+var options = lister.Options{AbsentGrace: 2 * time.Second}
+
 // rev returns a revision of the first era.
 func rev(number uint64) revision.Revision {
 	return revision.New(1, number)
@@ -16,7 +18,7 @@
 
 // Entries from the store and from peers arrive in any order. An older entry must not restore a removed endpoint.
 func TestOlderRevisionRestoresRemovedEndpoint(t *testing.T) {
-	l := lister.New()
+	l := lister.New(options)
 	if !l.Apply(lister.Entry{Key: "a", Revision: rev(5), Endpoint: lister.Endpoint{ID: "a"}}, 0) {
 		t.Fatal("got no change for a new endpoint, want one")
 	}
@@ -34,7 +36,7 @@
 // Each heartbeat writes the entry of an endpoint with a new revision. Sending heartbeats to the peers as changes would
 // fill the messages.
 func TestHeartbeatCountsAsChange(t *testing.T) {
-	l := lister.New()
+	l := lister.New(options)
 	l.Apply(lister.Entry{Key: "a", Revision: rev(5), Endpoint: lister.Endpoint{ID: "a"}}, 0)
 	if l.Apply(lister.Entry{Key: "a", Revision: rev(6), Endpoint: lister.Endpoint{ID: "a"}}, time.Second) {
 		t.Error("got a change for a heartbeat, want none")
@@ -55,7 +57,7 @@
 // A list of thousands of entries does not fit into a message to the peers. Only changes that are to be sent must be in
 // messages, the latest first, and none of the first read.
 func TestWholeListIsSentToPeers(t *testing.T) {
-	l := lister.New()
+	l := lister.New(options)
 	applyRange(l, 0, 3000, 0)
 	if got := l.NextChanges(32); len(got) != 0 {
 		t.Errorf("got %d changes after the first read, want none", len(got))
@@ -74,7 +76,7 @@
 // When many endpoints crash at once, every gateway repeated every change for four seconds: 3 of 4.4 kB of each message,
 // which filled the links of small gateways in a fleet of 25.
 func TestChangesAreRepeatedInEveryMessage(t *testing.T) {
-	l := lister.New()
+	l := lister.New(options)
 	applyRange(l, 0, 100, 0)
 	for i := range 100 {
 		l.Send(strconv.Itoa(i), 3)
@@ -98,7 +100,7 @@
 // Gateways compare digests to find out whether they missed a change. Equal lists must have equal digests, whatever came
 // before, and a missed change must show.
 func TestDigestHidesMissedChange(t *testing.T) {
-	a, b := lister.New(), lister.New()
+	a, b := lister.New(options), lister.New(options)
 	applyRange(a, 0, 10, 0)
 	applyRange(b, 0, 9, 0)
 	if a.Digest() == b.Digest() {
@@ -117,7 +119,7 @@
 			l.Apply(lister.Entry{Key: strconv.Itoa(i), Revision: rev(50), Removed: true}, time.Second)
 		}
 		l.DropRemoved(time.Second, time.Minute)
-		if l.Digest() != lister.New().Digest() {
+		if l.Digest() != lister.New(options).Digest() {
 			t.Error("got a digest of a list whose endpoints were all removed, want that of an empty list")
 		}
 	}
@@ -127,7 +129,7 @@
 // endpoint's entry in the old era, was dropped, and requests went on to it (review/8).
 func TestRemovalOfLaterEraIsDroppedForItsLowerNumber(t *testing.T) {
 	running := lister.Endpoint{ID: "a"}
-	l := lister.New()
+	l := lister.New(options)
 	l.Replace([]lister.Entry{{Key: "a", Revision: revision.New(1, 40), Endpoint: running}}, revision.New(1, 42), 0)
 	l.Replace([]lister.Entry{{Key: "a", Revision: revision.New(2, 21), Endpoint: running}}, revision.New(2, 24), 0)
 	if !l.Apply(lister.Entry{Key: "a", Revision: revision.New(2, 30), Removed: true}, 0) || len(l.Endpoints()) != 0 {
@@ -138,7 +140,7 @@
 // A peer that has not read the restored store yet sends what it knows of the old era, with higher numbers. It must not bring back
 // what the restored store does not hold, nor replace what it holds.
 func TestPeerBringsBackEntryOfEarlierEra(t *testing.T) {
-	l := lister.New()
+	l := lister.New(options)
 	l.Replace(nil, revision.New(2, 24), 0)
 	l.Apply(lister.Entry{Key: "b", Revision: revision.New(2, 25), Endpoint: lister.Endpoint{ID: "b"}}, 0)
 	for _, key := range []string{"a", "b"} {
@@ -150,7 +152,7 @@
 
 // A peer that has read the restored store first tells the others: its entries, with lower numbers, are newer.
 func TestPeerOfLaterEraIsIgnoredForItsLowerNumber(t *testing.T) {
-	l := lister.New()
+	l := lister.New(options)
 	l.Replace([]lister.Entry{{Key: "a", Revision: revision.New(1, 40), Endpoint: lister.Endpoint{ID: "a"}}}, revision.New(1, 42), 0)
 	if !l.Apply(lister.Entry{Key: "a", Revision: revision.New(2, 25), Endpoint: lister.Endpoint{ID: "a", Leaving: true}}, 0) {
 		t.Error("got no change for an entry of the later era, want one")
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -110,6 +110,8 @@
 	rereadAgeJitter   = 1500 * time.Millisecond
 	minRereadInterval = time.Second
 	rereadPerGateway  = 30 * time.Millisecond
+	// maxLoggedKeys bounds the keys in one log line.
+	maxLoggedKeys = 8
 	// expiredEntryGrace is how long entries that expired during an outage of the store are kept after it.
 	expiredEntryGrace = 2 * time.Second
 	// revocationMargin is subtracted from Options.RevokeDeadline.
@@ -181,7 +183,7 @@
 func New(o Options, deps Dependencies, gossipConn *net.UDPConn, logger *log.Logger) *Daemon {
 	d := &Daemon{
 		options: o, dependencies: deps, log: logger, supervisor: supervision.New(o.Name, logger),
-		tracker: tracker.New(clock.SinceBoot), revoker: revoker.New(), lister: lister.New(),
+		tracker: tracker.New(clock.SinceBoot), revoker: revoker.New(), lister: lister.New(listerOptions()),
 		listConfirmer: confirmer.New(confirmerOptions(), clock.SinceBoot()),
 	}
 	suspensions := suspender.New(newRand())
@@ -287,6 +289,7 @@
 	var changed []lister.Entry
 	if u.FullRead {
 		changed = d.lister.Replace(d.decodeEntries(maps.Keys(u.Items), u), u.Revision, now)
+		d.logHeldEntries()
 	} else {
 		changed = d.lister.ApplyAll(d.decodeEntries(slices.Values(u.ChangedKeys), u), now)
 	}
@@ -300,6 +303,13 @@
 	d.listConfirmer.Confirm(u.CurrentAt)
 }
 
+// logHeldEntries logs the entries of a restored store that are held. The caller must hold mu.
+func (d *Daemon) logHeldEntries() {
+	if keys := d.lister.HeldKeys(); len(keys) > 0 {
+		d.log.Info().Int("entries", len(keys)).Strs("keys", keys[:min(maxLoggedKeys, len(keys))]).Msg("list: restored entries held")
+	}
+}
+
 // decodeEntries returns the entries of keys in a store update.
 func (d *Daemon) decodeEntries(keys iter.Seq[string], u follower.Update) []lister.Entry {
 	var out []lister.Entry
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -71,6 +71,9 @@
 // hold mu.
 func (d *Daemon) composeList(m *broadcaster.Message, now time.Duration) {
 	d.lister.DropRemoved(removalRetention, now)
+	released := d.lister.ReleaseHeld(now)
+	d.activateListChanges(released, "store")
+	d.sendChanges(released, true)
 	for _, c := range d.lister.NextChanges(maxChangesPerMessage) {
 		entry := broadcaster.EndpointChange{Key: c.Key, Era: c.Revision.Era, Revision: c.Revision.Number, Removed: c.Removed}
 		if !c.Removed {
--- a/internal/process/daemon/options.go
+++ b/internal/process/daemon/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/confirmer"
+	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/limits/capper"
 	"github.com/pistachiovane/pistachiovane/internal/limits/retrier"
 	"github.com/pistachiovane/pistachiovane/internal/routing/planner"
@@ -49,6 +50,10 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
+func listerOptions() lister.Options {
+	return lister.Options{AbsentGrace: expiredEntryGrace}
+}
+
 func confirmerOptions() confirmer.Options {
 	return confirmer.Options{RepeatTime: changeGossipPeriod - maxTransitTime, MaxAge: maxListAge, ReadInterval: minListReadInterval}
 }
