A restored entry does not bring back an endpoint that has left

What callers could have seen: a drill may lose that an endpoint leaves, or has been removed. The restored entry says that it runs, and gateways that had acknowledged its leaving sent it requests again (DRAIN binds a machine that has itself acknowledged it).

Cause: of two entries the one of the later era is newer, but one that was restored is only a copy of an older one.

Change: in the first read of an era, an entry that would bring back the same start of an endpoint is held for as long as an entry takes to expire (three heartbeats) and the grace time. What is written meanwhile counts at once. If the entry is there still, it counts.

--- a/cmd/pistachiovane/cmds/edge_drill_test.go
+++ b/cmd/pistachiovane/cmds/edge_drill_test.go
@@ -164,3 +164,34 @@
 		}
 	}
 }
+
+// A drill may lose that an endpoint leaves or has been removed. The restored entry says that it runs, and gateways that knew better
+// sent requests to it again.
+func TestEdgeSendsRequestsToEndpointThatRestoredEntryBringsBack(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	gateways := env.addDrillGateways()
+	copied := env.store.Copy()
+	leaving, removed := env.serviceEndpoints[0], env.modelEndpoints["d2"]
+	env.store.Put(leaving.StoreEntry("draining"))
+	env.store.Remove("servers/d2")
+	for _, g := range env.gateways {
+		env.waitFor(func() bool { return !g.lists(removed.ID) && g.listsLeaving(leaving.ID) }, "all gateways should know")
+	}
+	env.store.SetDown(true)
+	time.Sleep(300 * time.Millisecond)
+	env.store.Restore(copied)
+	for _, g := range gateways {
+		env.waitFor(func() bool { return g.state().List.Era == 2 }, "all gateways should have read the restored list")
+	}
+	time.Sleep(time.Second)
+	for n, g := range gateways {
+		if g.lists(removed.ID) || !g.listsLeaving(leaving.ID) {
+			t.Errorf("gateway %d: got endpoints %+v, want none that has left; log:\n%s", n, g.state().Endpoints, env.linesWith("list:", "store:"))
+		}
+	}
+	time.Sleep(4 * time.Second)
+	for _, g := range gateways {
+		env.waitFor(func() bool { return g.lists(removed.ID) && !g.listsLeaving(leaving.ID) }, "entries that stay should count")
+	}
+}
--- a/cmd/pistachiovane/cmds/edge_env_test.go
+++ b/cmd/pistachiovane/cmds/edge_env_test.go
@@ -151,6 +151,11 @@
 	return slices.ContainsFunc(g.state().Endpoints, func(e lister.Endpoint) bool { return e.ID == id })
 }
 
+// listsLeaving reports whether the gateway lists an endpoint that is leaving.
+func (g *testGateway) listsLeaving(id string) bool {
+	return slices.ContainsFunc(g.state().Endpoints, func(e lister.Endpoint) bool { return e.ID == id && e.Leaving })
+}
+
 // availableTokens returns the tokens that the account may still spend.
 func (g *testGateway) availableTokens() float64 {
 	return g.state().AvailableTokens["acc"]
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -71,8 +71,8 @@
 	options Options
 	// entries holds the listed endpoints, and the removed ones for a while so that older entries cannot restore them.
 	entries map[string]Entry
-	// removedAt holds, by key, when entries were removed.
-	removedAt map[string]time.Duration
+	// removed holds the endpoints of the entries that were removed.
+	removed map[string]removedEndpoint
 	// held holds entries of a restored store that are not to be applied yet.
 	held map[string]heldEntry
 	// unsent holds, by key, the changes that are still to be sent to peers.
@@ -91,10 +91,16 @@
 	number int
 }
 
+// removedEndpoint is the endpoint of an entry that was removed at a time.
+type removedEndpoint struct {
+	endpoint Endpoint
+	at       time.Duration
+}
+
 // New returns an empty Lister.
 func New(o Options) *Lister {
 	return &Lister{
-		options: o, entries: map[string]Entry{}, removedAt: map[string]time.Duration{}, held: map[string]heldEntry{},
+		options: o, entries: map[string]Entry{}, removed: map[string]removedEndpoint{}, held: map[string]heldEntry{},
 		unsent: map[string]unsentChange{},
 	}
 }
@@ -108,6 +114,10 @@
 	var current []Entry
 	for _, e := range entries {
 		read[e.Key] = true
+		if l.restoresLeft(e) {
+			l.hold(e, now+l.options.RestoredGrace)
+			continue
+		}
 		current = append(current, e)
 	}
 	for _, key := range l.Keys() {
@@ -149,9 +159,9 @@
 		return false
 	}
 	l.digest ^= old.digest() ^ e.digest()
-	delete(l.removedAt, e.Key)
+	delete(l.removed, e.Key)
 	if e.Removed {
-		l.removedAt[e.Key] = now
+		l.removed[e.Key] = removedEndpoint{endpoint: old.Endpoint, at: now}
 	}
 	return true
 }
@@ -226,9 +236,9 @@
 
 // DropRemoved drops the entries that were removed longer than retention ago.
 func (l *Lister) DropRemoved(retention, now time.Duration) {
-	for key, at := range l.removedAt {
-		if now-at > retention {
-			delete(l.removedAt, key)
+	for key, r := range l.removed {
+		if now-r.at > retention {
+			delete(l.removed, key)
 			delete(l.entries, key)
 		}
 	}
--- a/internal/fleet/lister/lister_test.go
+++ b/internal/fleet/lister/lister_test.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
 )
 
-var options = lister.Options{AbsentGrace: 2 * time.Second}
+var options = lister.Options{AbsentGrace: 2 * time.Second, RestoredGrace: 5 * time.Second}
 
 // rev returns a revision of the first era.
 func rev(number uint64) revision.Revision {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -110,6 +110,8 @@
 	rereadAgeJitter   = 1500 * time.Millisecond
 	minRereadInterval = time.Second
 	rereadPerGateway  = 30 * time.Millisecond
+	// missedHeartbeats is how many intervals without a write let an entry expire.
+	missedHeartbeats = 3
 	// maxLoggedKeys bounds the keys in one log line.
 	maxLoggedKeys = 8
 	// expiredEntryGrace is how long entries that expired during an outage of the store are kept after it.
@@ -183,7 +185,7 @@
 func New(o Options, deps Dependencies, gossipConn *net.UDPConn, logger *log.Logger) *Daemon {
 	d := &Daemon{
 		options: o, dependencies: deps, log: logger, supervisor: supervision.New(o.Name, logger),
-		tracker: tracker.New(clock.SinceBoot), revoker: revoker.New(), lister: lister.New(listerOptions()),
+		tracker: tracker.New(clock.SinceBoot), revoker: revoker.New(), lister: lister.New(listerOptions(o)),
 		listConfirmer: confirmer.New(confirmerOptions(), clock.SinceBoot()),
 	}
 	suspensions := suspender.New(newRand())
--- a/internal/process/daemon/options.go
+++ b/internal/process/daemon/options.go
@@ -50,8 +50,10 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
-func listerOptions() lister.Options {
-	return lister.Options{AbsentGrace: expiredEntryGrace}
+func listerOptions(o Options) lister.Options {
+	return lister.Options{
+		AbsentGrace: expiredEntryGrace, RestoredGrace: missedHeartbeats*o.HeartbeatInterval + expiredEntryGrace,
+	}
 }
 
 func confirmerOptions() confirmer.Options {
