A change of the list from an older build counts as of the present era

What callers could have seen: while a new build replaces an older one, changes of the endpoint list that gateways of the older build tell were ignored until the gateway had read the store itself.

Older builds send no era, which was taken for era 0.

Change: the field is optional, and a change without it counts as of the era of the own list, as before eras were known.

--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -90,9 +90,9 @@
 // EndpointChange is a change of the endpoint list that the sender has read from the store or received from a peer.
 type EndpointChange struct {
 	Key string `json:"k"`
-	// Era and Revision are the era and the number of the revision of the store that made the change.
-	Era      uint64 `json:"era,omitempty"`
-	Revision uint64 `json:"r"`
+	// Era and Revision are the era and the number of the revision of the store that made the change. Era is nil from older builds.
+	Era      *uint64 `json:"era,omitempty"`
+	Revision uint64  `json:"r"`
 	// Removed is true if the entry was removed; Endpoint is nil then.
 	Removed  bool             `json:"g,omitempty"`
 	Endpoint *lister.Endpoint `json:"e,omitempty"`
--- a/internal/fleet/lister/lister.go
+++ b/internal/fleet/lister/lister.go
@@ -105,6 +105,11 @@
 	}
 }
 
+// Era returns the latest era of which the whole list has been read.
+func (l *Lister) Era() uint64 {
+	return l.era
+}
+
 // Replace applies a read of the whole list: the store holds entries and no others at a revision. Entries may also hold some that
 // the reader keeps although the store has removed them, as of their own revisions. If the store was restored, some entries are
 // held first. It returns the entries that changed.
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -75,7 +75,7 @@
 	d.activateListChanges(released, "store")
 	d.sendChanges(released, true)
 	for _, c := range d.lister.NextChanges(maxChangesPerMessage) {
-		entry := broadcaster.EndpointChange{Key: c.Key, Era: c.Revision.Era, Revision: c.Revision.Number, Removed: c.Removed}
+		entry := broadcaster.EndpointChange{Key: c.Key, Era: &c.Revision.Era, Revision: c.Revision.Number, Removed: c.Removed}
 		if !c.Removed {
 			endpoint := c.Endpoint
 			entry.Endpoint = &endpoint
@@ -149,9 +149,13 @@
 }
 
 // entryOf returns the entry of a change that a peer sent. An endpoint to which requests can't be sent counts as removed,
-// as it does when it is read from the store.
+// as it does when it is read from the store. A change without an era, from an older build, counts as of the era of the list.
 func (d *Daemon) entryOf(c broadcaster.EndpointChange, from string) lister.Entry {
-	removed := lister.Entry{Key: c.Key, Revision: revision.New(c.Era, c.Revision), Removed: true}
+	at := revision.New(d.lister.Era(), c.Revision)
+	if c.Era != nil {
+		at.Era = *c.Era
+	}
+	removed := lister.Entry{Key: c.Key, Revision: at, Removed: true}
 	if c.Removed || c.Endpoint == nil {
 		return removed
 	}
@@ -159,7 +163,7 @@
 		d.log.Warn().Str("key", c.Key).Str("from", from).Err(err).Msg("list: entry not understood")
 		return removed
 	}
-	return lister.Entry{Key: c.Key, Revision: removed.Revision, Endpoint: *c.Endpoint}
+	return lister.Entry{Key: c.Key, Revision: at, Endpoint: *c.Endpoint}
 }
 
 // Receive applies a message of a peer: its state to the controller and its changes to the endpoint list. It also checks
