A version that a drill has lost keeps the one before it from being confirmed

Cause: an answer of the store counted as a confirmation that the active version is the newest. A restored store confirms any version that it has not lost.

Change: the tracker knows the newest version that a peer has. If the peer has read its version in an earlier era than that of the confirmations, these are void: requests are refused with 503 and Retry-After, and the gateway is not ready, until the version is written again. A gateway that has the lost version goes on: an older version, or none, in a later era than that in which it was read confirms it. A process that starts waits up to 700 ms for the version of a peer, if the store names an era above 0 and the settings name other gateways. Messages carry the eras in which the version was read and confirmed (new field eras; without it nothing is void).

--- a/cmd/pistachiovane/cmds/edge_drill_test.go
+++ b/cmd/pistachiovane/cmds/edge_drill_test.go
@@ -195,3 +195,36 @@
 		env.waitFor(func() bool { return g.lists(removed.ID) && !g.listsLeaving(leaving.ID) }, "entries that stay should count")
 	}
 }
+
+// A gateway that starts after a drill reads the version before the newest one, which the drill has lost. It used it, though its peers
+// told it of the newer one, and accepted a key that had been withdrawn (review, play newcomer). Its peers must stay ready.
+func TestEdgeServesByVersionThatDrillBroughtBack(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	gateways := env.addDrillGateways()
+	copied := env.store.Copy()
+	env.putConfig(4, `"other"`)
+	env.waitForVersion(4)
+	env.store.SetDown(true)
+	time.Sleep(300 * time.Millisecond)
+	env.store.Restore(copied)
+	started := env.startGateway(env.settings)
+	env.useGateway(len(env.gateways) - 1)
+	for restoredAt := time.Now(); time.Since(restoredAt) < 4*time.Second; time.Sleep(20 * time.Millisecond) {
+		for _, path := range []string{"/read/1", "/open/1"} {
+			if resp := env.call(http.MethodGet, path); resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" {
+				t.Fatalf("got %+v for %s by the old version, want status 503 with Retry-After; log:\n%s", resp, path, env.linesWith("config:"))
+			}
+		}
+		for n, g := range gateways {
+			if !g.daemon.Ready() {
+				t.Fatalf("gateway %d, which has the newest version, is not ready; log:\n%s", n, env.linesWith("config:", "store:"))
+			}
+		}
+	}
+	env.putConfig(4, `"other"`)
+	env.waitFor(started.daemon.Ready, "the started gateway should be ready once the version is written again")
+	if resp := env.call(http.MethodGet, "/read/1"); resp.status != http.StatusUnauthorized {
+		t.Errorf("got %+v for the withdrawn key, want status 401", resp)
+	}
+}
--- a/internal/config/tracker/tracker_test.go
+++ b/internal/config/tracker/tracker_test.go
@@ -16,10 +16,10 @@
 // An older version that is received late must not replace a newer one.
 func TestOlderVersionReplacesNewer(t *testing.T) {
 	tr := tracker.New(func() time.Duration { return time.Second })
-	if !tr.Accept(configOfVersion(7), 0) {
+	if !tr.Accept(configOfVersion(7), 0, 1) {
 		t.Fatal("got no change for the first configuration, want one")
 	}
-	if tr.Accept(configOfVersion(6), time.Second) {
+	if tr.Accept(configOfVersion(6), time.Second, 1) {
 		t.Error("got a change for version 6 after version 7, want none")
 	}
 	if m, _ := tr.Active(); m.Version() != 7 {
@@ -30,9 +30,9 @@
 // The confirmation of a peer that has another version must not count for the active version.
 func TestPeerConfirmsActiveVersionWithAnother(t *testing.T) {
 	tr := tracker.New(func() time.Duration { return 5 * time.Second })
-	tr.Accept(configOfVersion(7), time.Second)
-	tr.ConfirmFromPeer(6, 5*time.Second)
-	tr.ConfirmFromPeer(8, 5*time.Second)
+	tr.Accept(configOfVersion(7), time.Second, 1)
+	tr.ConfirmFromPeer(tracker.Report{Version: 6}, 5*time.Second)
+	tr.ConfirmFromPeer(tracker.Report{Version: 8}, 5*time.Second)
 	if _, age := tr.Active(); age != 4*time.Second {
 		t.Errorf("got age %v, want 4s", age)
 	}
@@ -53,13 +53,13 @@
 	trackers := make([]*tracker.Tracker, gateways)
 	for i := range trackers {
 		trackers[i] = tracker.New(clock)
-		trackers[i].Accept(configOfVersion(7), 0)
+		trackers[i].Accept(configOfVersion(7), 0, 1)
 	}
 	for i := 0; now < 6*time.Second; i++ {
 		from, to := trackers[i%gateways], trackers[(i+1)%gateways]
-		v, age := from.StoreConfirmed()
+		report := from.Report()
 		now += messageDelay
-		to.ConfirmFromPeer(v, now-age)
+		to.ConfirmFromPeer(report, now-report.Age)
 		now += messageInterval - messageDelay
 	}
 	for i, tr := range trackers {
--- a/internal/fleet/broadcaster/message.go
+++ b/internal/fleet/broadcaster/message.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/pistachiovane/pistachiovane/internal/config/revoker"
+	"github.com/pistachiovane/pistachiovane/internal/config/tracker"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/lister"
 	"github.com/pistachiovane/pistachiovane/internal/limits/crashencoder"
 )
@@ -98,6 +99,12 @@
 	Endpoint *lister.Endpoint `json:"e,omitempty"`
 }
 
+// ConfigEras holds the latest era of the store in which a configuration was read, and the latest in which it was confirmed.
+type ConfigEras struct {
+	Read      uint64 `json:"r"`
+	Confirmed uint64 `json:"c"`
+}
+
 // Message is the state that a gateway sends to its peers. The JSON tags are the wire format between gateways of
 // different builds and must not change.
 type Message struct {
@@ -119,6 +126,9 @@
 	// last confirmed to the sender that this version is the newest.
 	ConfigVersion uint64 `json:"ver,omitempty"`
 	ConfigAgeMs   int64  `json:"age,omitempty"`
+	// ConfigEras says in which eras of the store the sender has read that version, and had it confirmed. It is nil from older
+	// builds.
+	ConfigEras *ConfigEras `json:"eras,omitempty"`
 	// Withdrawn says which keys the version withdrew, for a while after the sender has read it.
 	Withdrawn []revoker.Announcement `json:"gone,omitempty"`
 	Loads     []Load                 `json:"load,omitempty"`
@@ -165,6 +175,24 @@
 	Stopping bool `json:"stop,omitempty"`
 }
 
+// ConfigReport returns what the message says of the sender's configuration.
+func (m Message) ConfigReport() tracker.Report {
+	r := tracker.Report{Version: m.ConfigVersion, Age: time.Duration(m.ConfigAgeMs) * time.Millisecond}
+	if m.ConfigEras != nil {
+		r.ErasKnown, r.ReadEra, r.ConfirmedEra = true, m.ConfigEras.Read, m.ConfigEras.Confirmed
+	}
+	return r
+}
+
+// WithConfigReport returns the message with what the sender says of its configuration.
+func (m Message) WithConfigReport(r tracker.Report) Message {
+	m.ConfigVersion, m.ConfigAgeMs = r.Version, r.Age.Milliseconds()
+	if r.ErasKnown {
+		m.ConfigEras = &ConfigEras{Read: r.ReadEra, Confirmed: r.ConfirmedEra}
+	}
+	return m
+}
+
 // encode returns the message as a JSON-RPC notification. It fails if the message is larger than maxMessageBytes.
 func (m Message) encode() ([]byte, error) {
 	b, err := encodeNotification(stateMethod, m)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -130,6 +130,9 @@
 	initialDecodeTokensPerSecond  = 1550
 	// minMeasuredGenerations is how many generations must have been measured before the split of the stages follows them.
 	minMeasuredGenerations = 60
+	// startupListenTime is how long a process that starts waits for the version of a peer before it uses the configuration of a
+	// store that has been restored before.
+	startupListenTime = 700 * time.Millisecond
 	// peerTimeout is the age of the last message above which a peer does not count as active.
 	peerTimeout = 1500 * time.Millisecond
 	// crashRetention is how long a crash counts against the request that ran at the time, unless that completes.
@@ -174,6 +177,8 @@
 	// the store has confirmed it since. Both are zero before.
 	listReadAt      time.Duration
 	listConfirmedAt time.Duration
+	// configReadAt is when a configuration was first known.
+	configReadAt time.Duration
 	// outdatedSince is when a peer first reported a newer configuration, or when the configuration was last read because
 	// of such a report. It is zero if the active configuration is not known to be outdated.
 	outdatedSince time.Duration
@@ -188,6 +193,9 @@
 		tracker: tracker.New(clock.SinceBoot), revoker: revoker.New(), lister: lister.New(listerOptions(o)),
 		listConfirmer: confirmer.New(confirmerOptions(), clock.SinceBoot()),
 	}
+	if !o.FirstStart && o.hasOtherSeeds() {
+		d.tracker.Listen()
+	}
 	suspensions := suspender.New(newRand())
 	d.controller = controller.New(controller.Components{
 		Clock: clock.SinceBoot, Tracker: d.tracker, Suspender: suspensions,
@@ -246,16 +254,17 @@
 }
 
 // applyConfig activates the configuration of a store update, or records that the active configuration is still the
-// newest. It logs a configuration that can't be decoded and keeps the active one. An update without a configuration is
-// ignored.
+// newest. It logs a configuration that can't be decoded and keeps the active one.
 func (d *Daemon) applyConfig(u follower.Update) {
 	item, ok := u.Items[d.dependencies.ConfigKey]
+	era := u.Revision.Era
 	if !ok {
+		d.tracker.ConfirmMissing(u.CurrentAt, era)
 		return
 	}
 	current, _ := d.tracker.Active()
 	if current != nil && !slices.Contains(u.ChangedKeys, d.dependencies.ConfigKey) {
-		d.tracker.Confirm(u.CurrentAt)
+		d.tracker.Confirm(u.CurrentAt, era)
 		return
 	}
 	config, err := d.dependencies.DecodeConfig(item.Value)
@@ -264,7 +273,10 @@
 		return
 	}
 	m := matcher.New(config)
-	if !d.tracker.Accept(m, u.CurrentAt) {
+	if era == 0 {
+		d.tracker.StopListening()
+	}
+	if !d.tracker.Accept(m, u.CurrentAt, era) {
 		return
 	}
 	d.controller.Configure(m)
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -61,6 +61,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m.Withdrawn = d.revoker.Announcements(now)
+	d.endListening(now)
 	d.rereadUnconfirmedConfig(now)
 	d.rereadUnconfirmedList(now)
 	d.composeList(&m, now)
@@ -169,6 +170,7 @@
 // Receive applies a message of a peer: its state to the controller and its changes to the endpoint list. It also checks
 // whether the peer has a newer configuration.
 func (d *Daemon) Receive(m broadcaster.Message) {
+	d.recordPeerConfig(m)
 	d.controller.Receive(m)
 	now := clock.SinceBoot()
 	d.mu.Lock()
@@ -178,6 +180,30 @@
 	d.receiveList(m, now)
 }
 
+// recordPeerConfig records the version of a peer's configuration. A newer one than the active one may be one that the store has
+// lost; nothing is served by the active one then until the newer one is written again.
+func (d *Daemon) recordPeerConfig(m broadcaster.Message) {
+	own, report := d.tracker.Report(), m.ConfigReport()
+	if !d.tracker.RecordPeer(report) {
+		return
+	}
+	d.log.Warn().Str("from", m.From).Uint64("version", report.Version).Uint64("own", own.Version).
+		Uint64("read_era", report.ReadEra).Uint64("own_era", own.ConfirmedEra).Msg("config: newer version lost by the store")
+}
+
+// endListening makes the configuration count although no peer has told its version yet, startupListenTime after it was first read.
+// The caller must hold mu.
+func (d *Daemon) endListening(now time.Duration) {
+	m, _ := d.tracker.Active()
+	switch {
+	case m == nil:
+	case d.configReadAt == 0:
+		d.configReadAt = now
+	case now-d.configReadAt > startupListenTime && d.tracker.StopListening():
+		d.log.Info().Uint64("version", m.Version()).Msg("config: no peer heard")
+	}
+}
+
 // rereadUnconfirmedConfig starts a new read of the configuration if neither the watch nor a peer has confirmed for a
 // while that it is the newest. The caller must hold mu.
 func (d *Daemon) rereadUnconfirmedConfig(now time.Duration) {
@@ -205,7 +231,7 @@
 // rereadOutdatedConfig starts a new read of the configuration if a peer has had a newer version for longer than
 // minOutdatedTime. version is the version that the peer from reports. The caller must hold mu.
 func (d *Daemon) rereadOutdatedConfig(from string, version uint64, now time.Duration) {
-	ownVersion, _ := d.tracker.StoreConfirmed()
+	ownVersion := d.tracker.Report().Version
 	if version <= ownVersion {
 		if version == ownVersion {
 			d.outdatedSince = 0
--- a/internal/process/daemon/options.go
+++ b/internal/process/daemon/options.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/confirmer"
@@ -45,6 +46,11 @@
 	RetryBudget retrier.Options
 }
 
+// hasOtherSeeds reports whether the settings name another gateway.
+func (o Options) hasOtherSeeds() bool {
+	return slices.ContainsFunc(o.SeedAddrs, func(a netip.AddrPort) bool { return a != o.GossipAddr })
+}
+
 // newRand returns a generator with a random seed.
 func newRand() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/process/daemon/state.go
+++ b/internal/process/daemon/state.go
@@ -140,8 +140,7 @@
 
 // configVersion returns the version of the active configuration, or zero while there is none.
 func (d *Daemon) configVersion() float64 {
-	v, _ := d.tracker.StoreConfirmed()
-	return float64(v)
+	return float64(d.tracker.Report().Version)
 }
 
 // configAge returns the time since the active configuration was last confirmed to be the newest, in seconds.
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -206,6 +206,9 @@
 		return f.refuse(j, http.StatusServiceUnavailable, retryAfterShort, "no configuration")
 	}
 	j.configVersion, j.configAge = m.Version(), age
+	if age >= tracker.Unconfirmed {
+		return f.refuse(j, http.StatusServiceUnavailable, retryAfterShort, "configuration not known to be the newest")
+	}
 	route, ok := m.Route(j.Host, j.Path)
 	if !ok {
 		return f.refuseUnknown(j, http.StatusNotFound, "no route")
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -172,7 +172,7 @@
 			},
 		},
 	})
-	active.Accept(m, clock.SinceBoot())
+	active.Accept(m, clock.SinceBoot(), 1)
 	c.Configure(m)
 	for _, id := range []string{"s1", "s2", "s3", "p1", "p2", "p3", "d1", "d2", "d3"} {
 		e := lister.Endpoint{ID: id, Address: id, Service: "llm", Domain: "a", Slots: 4, Model: true, Prefill: id[0] == 'p'}
--- a/internal/routing/controller/messages.go
+++ b/internal/routing/controller/messages.go
@@ -12,11 +12,11 @@
 // includeAvailableTokens is set, the message contains the available tokens of the accounts, unless this gateway has
 // just started and needs those of its peers itself.
 func (c *Controller) Compose(includeAvailableTokens bool) (m broadcaster.Message, busy bool) {
-	version, age := c.tracker.StoreConfirmed()
+	config := c.tracker.Report()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock()
-	m.ConfigVersion, m.ConfigAgeMs = version, age.Milliseconds()
+	m = m.WithConfigReport(config)
 	for id, l := range c.planner.Loads(now) {
 		m.Loads = append(m.Loads, encodeLoad(id, l))
 	}
@@ -119,13 +119,13 @@
 	for id, report := range m.EndpointRequests {
 		c.balancer.MergePeerReport(id, int(report[0]), composedAt-time.Duration(report[1])*time.Millisecond)
 	}
-	c.confirmConfig(m, composedAt-time.Duration(m.ConfigAgeMs)*time.Millisecond, now)
+	c.confirmConfig(m, composedAt-m.ConfigReport().Age, now)
 }
 
 // confirmConfig records that the store confirmed the version of a message to its sender at the given time. The lock must be
 // held.
 func (c *Controller) confirmConfig(m broadcaster.Message, confirmedAt, now time.Duration) {
-	previous, confirmed := c.tracker.ConfirmFromPeer(m.ConfigVersion, confirmedAt)
+	previous, confirmed := c.tracker.ConfirmFromPeer(m.ConfigReport(), confirmedAt)
 	if confirmed && now-previous > minLoggedConfigAge {
 		c.log.Info().Str("from", m.From).Uint64("version", m.ConfigVersion).Int64("was_ms", (now-previous).Milliseconds()).
 			Int64("age_ms", (now-confirmedAt).Milliseconds()).Int64("message_ms", m.Age.Milliseconds()).
--- a/internal/routing/controller/messages_test.go
+++ b/internal/routing/controller/messages_test.go
@@ -16,7 +16,7 @@
 // must not seem confirmed at the time of reading: its keys may have been withdrawn since.
 func TestMessageThatWaitedConfirmsConfig(t *testing.T) {
 	g := newGateway(t, profiler.Usage{})
-	g.tracker.Accept(matcher.New(matcher.Config{Version: 1}), 0)
+	g.tracker.Accept(matcher.New(matcher.Config{Version: 1}), 0, 1)
 	g.now = 5 * time.Second
 	g.Compose(false)
 	g.Receive(broadcaster.Message{
@@ -32,7 +32,7 @@
 // the latest.
 func TestMessageOfUnknownAgeConfirmsConfig(t *testing.T) {
 	g := newGateway(t, profiler.Usage{})
-	g.tracker.Accept(matcher.New(matcher.Config{Version: 1}), 0)
+	g.tracker.Accept(matcher.New(matcher.Config{Version: 1}), 0, 1)
 	g.now = 5 * time.Second
 	g.Receive(broadcaster.Message{From: "peer", Incarnation: 1, ConfigVersion: 1, ConfigAgeMs: 300, SentAtMs: 1})
 	if _, age := g.tracker.Active(); age != 5*time.Second {
