Gateways read a restored store one after another

What callers could have seen: the watches of all gateways end at the same moment in a drill. All read everything then, so that a store of a large fleet, just back, answers late or with 429.

Change: all but the readers of the endpoint list wait a random time before they read, up to 30 ms for each gateway and at most 5 s (the configuration: 1 s). Peers tell them changes and confirm the configuration meanwhile; a list that differs, a newer version or an age that grows ends the wait as before.

Evidence: TestAllGatewaysReadRestoredStoreAtOnce (300 reads within 100 ms without the wait, at most 30 allowed) and TestRefreshWaitsForDelayedRead.

--- a/internal/fleet/follower/era.go
+++ b/internal/fleet/follower/era.go
@@ -1,6 +1,10 @@
 package follower
 
 import (
+	"context"
+	"math/rand/v2"
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
@@ -20,11 +24,22 @@
 }
 
 // loseHistory makes the next step read all entries: the store no longer holds the changes since the copy's revision, or it has
-// been restored and is in another era.
+// been restored and is in a later era. Then the read is put off for a random time.
 func (f *Follower) loseHistory(era uint64) {
 	f.log.Warn().Str("prefix", f.options.Prefix).Str("revision", f.revision.String()).Uint64("era", era).
 		Msg("store: history lost, reading anew")
-	f.synced = false
+	f.synced, f.readAt = false, f.clock()
+	if era > f.revision.Era && f.options.RestoreDelay != nil {
+		f.readAt += time.Duration(rand.Int64N(int64(f.options.RestoreDelay()) + 1))
+	}
+}
+
+// awaitRead waits until the read of all entries is due, or until Refresh is called.
+func (f *Follower) awaitRead(ctx context.Context) {
+	if remaining := f.readAt - f.clock(); remaining > 0 {
+		f.pause(ctx, remaining, f.refresh)
+	}
+	f.readAt = 0
 }
 
 // enterEra records a read of all entries, which may be the first one of an era. Entries that are missing then are kept for a while.
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -70,6 +70,9 @@
 	// Pace returns the longest wait of the next watch, and the shortest time from the start of a call that returned
 	// changes to the start of the next call.
 	Pace func() (maxWait, minInterval time.Duration)
+	// RestoreDelay returns the longest time for which the read of all entries of a restored store is put off, so that not all
+	// gateways read at the same moment. Nil means that it is read at once.
+	RestoreDelay func() time.Duration
 	// Removals says how long removals are deferred after an outage of the store.
 	Removals deferrer.Options
 }
@@ -89,6 +92,8 @@
 	currentAt time.Duration
 	// synced is false while all entries must be read (again), instead of only their changes.
 	synced bool
+	// readAt is when all entries are to be read, if the copy is not synced.
+	readAt time.Duration
 	// refreshing is set if the next watch must not wait for changes.
 	refreshing bool
 	// failures is the number of calls that have failed since the latest success.
@@ -178,6 +183,7 @@
 // and after a watch that returned items.
 func (f *Follower) step(ctx context.Context) (changes bool, err error) {
 	if !f.synced {
+		f.awaitRead(ctx)
 		return true, f.read(ctx)
 	}
 	return f.watch(ctx)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -114,6 +114,8 @@
 	missedHeartbeats = 3
 	// maxLoggedKeys bounds the keys in one log line.
 	maxLoggedKeys = 8
+	// maxConfigRestoreDelay is the longest time for which the configuration is not read after a restore of the store.
+	maxConfigRestoreDelay = time.Second
 	// expiredEntryGrace is how long entries that expired during an outage of the store are kept after it.
 	expiredEntryGrace = 2 * time.Second
 	// revocationMargin is subtracted from Options.RevokeDeadline.
@@ -221,9 +223,9 @@
 
 // addServices adds all parts of the gateway that run in the background to the supervisor.
 func (d *Daemon) addServices() {
-	config := follower.Options{Prefix: d.dependencies.ConfigPrefix, Pace: d.configPace}
+	config := follower.Options{Prefix: d.dependencies.ConfigPrefix, Pace: d.configPace, RestoreDelay: d.configRestoreDelay}
 	endpoints := follower.Options{
-		Prefix: d.dependencies.EndpointPrefix, Pace: d.endpointPace,
+		Prefix: d.dependencies.EndpointPrefix, Pace: d.endpointPace, RestoreDelay: d.listRestoreDelay,
 		Removals: d.removalOptions(),
 	}
 	d.configFollower = follower.New(d.dependencies.Store, config, clock.SinceBoot, d.log, d.applyConfig)
--- a/internal/process/daemon/gossip.go
+++ b/internal/process/daemon/gossip.go
@@ -32,6 +32,22 @@
 	return max(minReaderWait, min(listReaderWait, longestWait)), listReaderPause
 }
 
+// configRestoreDelay and listRestoreDelay return the longest time for which the configuration and the endpoint list are not read
+// after a restore of the store. The gateways that read first confirm the configuration to the others, and the readers of the list
+// tell them its changes.
+func (d *Daemon) configRestoreDelay() time.Duration {
+	_, recentGateways := d.broadcaster.Rank(peerTimeout)
+	return min(maxConfigRestoreDelay, time.Duration(recentGateways)*rereadPerGateway)
+}
+
+func (d *Daemon) listRestoreDelay() time.Duration {
+	rank, recentGateways := d.broadcaster.Rank(d.readerTimeout())
+	if rank < listReaders {
+		return 0
+	}
+	return min(listNonReaderPause, time.Duration(recentGateways)*rereadPerGateway)
+}
+
 // readerTimeout returns the age of the last message above which a reader of the endpoint list counts as absent: others must take
 // its place within a part of the time in which leaving endpoints must get no more requests.
 func (d *Daemon) readerTimeout() time.Duration {
