--- a/cmd/soak/crashes.go
+++ b/cmd/soak/crashes.go
@@ -121,7 +121,7 @@
 			e.replaced = true
 			stages = append(stages, e.Stage)
 		}
-		if !e.expired && time.Since(crashedAt) > crashedEntryTime {
+		if !e.expired && time.Since(crashedAt) > crashedEntryTime && time.Now().After(e.listedUntil) {
 			e.expired, e.leaving = true, true
 			key, _ := e.StoreEntry("ready")
 			b.store.Remove(key)
--- a/cmd/soak/endpoints.go
+++ b/cmd/soak/endpoints.go
@@ -23,6 +23,8 @@
 	// replaced and expired are set when another endpoint has started after a crash, and when the entry has been removed.
 	replaced bool
 	expired  bool
+	// listedUntil is when the entry expires that a drill has brought back.
+	listedUntil time.Time
 }
 
 // state returns the state that the endpoint announces in the store. The caller must hold the lock of the testbed.
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -29,15 +29,17 @@
 type injector struct {
 	testbed *testbed
 	rng     *rand.Rand
+	// drills is set if the store is restored from copies.
+	drills bool
 	// wait counts the series of faults in progress.
 	wait sync.WaitGroup
 	// errs receives at most one error from each series.
 	errs chan error
 }
 
-func newInjector(b *testbed, seed uint64) *injector {
+func newInjector(b *testbed, seed uint64, drills bool) *injector {
 	return &injector{
-		testbed: b, rng: rand.New(rand.NewPCG(seed, 3)), errs: make(chan error, 64), //nolint:gosec // a seeded test
+		testbed: b, drills: drills, rng: rand.New(rand.NewPCG(seed, 3)), errs: make(chan error, 64), //nolint:gosec // a seeded test
 	}
 }
 
@@ -63,6 +65,12 @@
 			i.runSeries(delay, times, f)
 		}()
 	}
+	if i.drills {
+		stop := make(chan struct{})
+		defer close(stop)
+		go i.testbed.runCopies(stop)
+		i.addDrills(duration)
+	}
 	i.wait.Wait()
 	i.testbed.cutsAnswers.Store(false)
 	i.testbed.clearPendingFaults()
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,6 +43,7 @@
 	Gateways int           `arg:"--gateways" default:"4" help:"how many gateways"`
 	Callers  int           `arg:"--callers" default:"24" help:"how many callers"`
 	Hangs    bool          `arg:"--hangs" help:"let endpoints hang before some crashes"`
+	Drills   bool          `arg:"--drills" help:"restore the store from copies some seconds old"`
 	Keep     string        `arg:"--keep" default:"soak-failed" help:"folder for the logs of seeds that fail"`
 }
 
@@ -191,7 +192,7 @@
 		start(newCaller(b, seed, i).run)
 	}
 	start(newCrasher(b, seed).runCrasher)
-	err = newInjector(b, seed).run(a.For)
+	err = newInjector(b, seed, a.Drills).run(a.For)
 	recoveredAt := time.Now().Add(recoveryTime)
 	time.Sleep(recoveryTime + finalCheckDuration)
 	close(stop)
--- a/cmd/soak/testbed.go
+++ b/cmd/soak/testbed.go
@@ -87,8 +87,11 @@
 	endpoints []*endpoint
 	// startedEndpoints is the number of endpoints for which an ID was assigned.
 	startedEndpoints int
-	// version is the version of the latest configuration.
+	// version is the version of the latest configuration, and config its content.
 	version int
+	config  []byte
+	// copies holds the latest copies of the store, the oldest first.
+	copies []standin.Copy
 	// keys holds the valid API keys by client account; lastKeyNumber is the number in the newest key.
 	keys          map[string][]string
 	lastKeyNumber int
@@ -210,6 +213,7 @@
 	if err != nil {
 		panic(err)
 	}
+	b.config = content
 	b.store.Put("op/config", content)
 }
 
