What a peer says before the first read of the configuration counts

What callers could have seen: a gateway that starts after a drill hears of the newer version before it has read the store.

RecordPeer ignored versions while there was no configuration.

Change: it remembers them.

Evidence: TestVersionOfPeerHeardBeforeFirstReadIsForgotten failed before (version 3 confirmed) and passes.

--- a/internal/config/tracker/era_test.go
+++ b/internal/config/tracker/era_test.go
@@ -118,6 +118,17 @@
 	}
 }
 
+// A process that starts may hear of its peers before it has read the store. What they said must count once it has.
+func TestVersionOfPeerHeardBeforeFirstReadIsForgotten(t *testing.T) {
+	tr := newTestTracker()
+	tr.Listen()
+	tr.RecordPeer(tracker.Report{Version: 4, ReadEra: 1, ConfirmedEra: 2, ErasKnown: true})
+	tr.accept(3, 2)
+	tr.expect(t, "read", 3, tracker.Unconfirmed)
+	tr.accept(4, 2)
+	tr.expect(t, "written again", 4, confirmedAge)
+}
+
 // One message with an impossible version must not stop a gateway for good.
 func TestVersionOfSilentPeerIsKeptForEver(t *testing.T) {
 	tr := newTestTracker()
--- a/internal/config/tracker/tracker.go
+++ b/internal/config/tracker/tracker.go
@@ -28,7 +28,7 @@
 	// own holds the confirmations of active by the store, and all those by the store or by a peer. Only the age of own is sent
 	// to peers: an age that peers pass on gets too low by the transit time of each message.
 	own, all confirmation
-	// newer is the newest version that a peer is known to have and that is newer than active. It is zero if there is none, and
+	// newer is the newest version that a peer is known to have and that was newer than active at that time. It is zero if there is none, and
 	// forgotten after newerUntil.
 	newer      uint64
 	newerUntil time.Duration
@@ -156,7 +156,7 @@
 	if r.Version > 0 && r.Age < Unconfirmed {
 		t.listening = false
 	}
-	if t.active == nil || r.Version <= t.active.Version() {
+	if t.active != nil && r.Version <= t.active.Version() {
 		return false
 	}
 	t.newer, t.newerUntil = max(t.newer, r.Version), t.clock()+newerRetention
