--- a/cmd/pistachiovane/cmds/edge_drill_test.go
+++ b/cmd/pistachiovane/cmds/edge_drill_test.go
@@ -228,3 +228,32 @@
 		t.Errorf("got %+v for the withdrawn key, want status 401", resp)
 	}
 }
+
+// A drill that loses the newest version and an endpoint, which are written again, must cost callers nothing: no gateway may cease to
+// be ready, and no request may be refused.
+func TestEdgeRefusesCallersInDrill(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t)
+	gateways := env.addDrillGateways()
+	copied := env.store.Copy()
+	env.putConfig(4, `"key","other"`)
+	env.serviceEndpoints = append(env.serviceEndpoints, env.addEndpoint("s3", "desk", ""))
+	env.waitForVersion(4)
+	env.waitForRevision()
+	restored := make(chan struct{})
+	go func() {
+		defer close(restored)
+		env.restoreWithEntries(copied)
+		time.Sleep(settleTime)
+		env.putConfig(4, `"key","other"`)
+	}()
+	served := 0
+	for startedAt := time.Now(); time.Since(startedAt) < settleTime+maxApplyTime; time.Sleep(10 * time.Millisecond) {
+		env.useGateway(1 + served%len(gateways))
+		if resp := env.call(http.MethodGet, "/read/1"); resp.status != http.StatusOK || !env.daemon.Ready() {
+			t.Fatalf("got %+v as request %d in a drill, want status 200 of a ready gateway; log:\n%s", resp, served, env.linesWith("config:", "store:", "list:"))
+		}
+		served++
+	}
+	<-restored
+}
