The soak withdraws a key and replaces an endpoint after each drill

Change: once gateways must follow the restored store, a key is withdrawn and an endpoint leaves, so that what is newer than the restore has lower numbers than what was before.

The drills guard against what else a restore might break.

--- a/cmd/soak/drill.go
+++ b/cmd/soak/drill.go
@@ -35,24 +35,32 @@
 	for range 1 + i.rng.IntN(maxDrills) {
 		delay := time.Duration(i.rng.Int64N(int64(duration)))
 		away := time.Duration(i.rng.Int64N(int64(maxAwayTime)))
-		age := 1 + i.rng.IntN(keptCopies)
+		age, number := 1+i.rng.IntN(keptCopies), i.rng.IntN(1000)
 		i.wait.Add(1)
 		go func() {
 			defer i.wait.Done()
-			i.runSeries(delay, 1, func() error { return i.testbed.drill(away, age) })
+			i.runSeries(delay, 1, func() error { return i.testbed.drill(away, age, number) })
 		}()
 	}
 }
 
 // drill lets the store be away for a while and come back from a copy, the latest but age - 1. What the operator and the endpoints
-// wrote since is written again. Entries of endpoints that crashed are not; they expire.
-func (b *testbed) drill(away time.Duration, age int) error {
+// wrote since is written again. Entries of endpoints that crashed are not; they expire. Once gateways must follow the store again,
+// a key is withdrawn and the endpoint with a number, modulo the number of endpoints, replaced.
+func (b *testbed) drill(away time.Duration, age, number int) error {
+	b.awayInDrill(away, age)
+	time.Sleep(reconnectTime)
+	b.withdrawKey(bigAccount)
+	return b.replaceEndpoint(number)
+}
+
+// awayInDrill is the part of a drill in which promises that need the store are not checked.
+func (b *testbed) awayInDrill(away time.Duration, age int) {
 	defer b.beginFault("drill")()
 	b.store.SetDown(true)
 	time.Sleep(away)
 	b.restore(b.pickCopy(age))
 	b.writeHeartbeats()
-	return nil
 }
 
 // pickCopy returns the latest copy but age - 1, or the oldest that is kept.
