An unmarked end counts once the whole request has been written

Cause: the kernel reports a reset once. Here the write of the request, in its own goroutine, gets it, and the read of the answer sees an ordinary end.

Change: at an end that nobody marked, the exchange waits for the result of the write. An error of it is an error of the answer.

Evidence: TestResetWhileRequestIsWrittenLooksLikeEnd failed before (25 of 105 half answers taken for whole) and passes; TestWholeEarlyAnswerIsTakenForBroken holds whole early answers.

--- a/internal/proxy/exchanger/exchanger.go
+++ b/internal/proxy/exchanger/exchanger.go
@@ -153,8 +153,9 @@
 	exchanger *Exchanger
 	// stopCancel stops the context from closing the connection. It returns false if the context has ended already.
 	stopCancel func() bool
-	// writeDone receives the result of writing the request, once.
+	// writeDone receives the result of writing the request, once. awaitWrite keeps it in written.
 	writeDone <-chan error
+	written   *error
 	// bodyComplete is set once the body has been read to its end.
 	bodyComplete bool
 	// singleUse is set if the connection must not carry another exchange.
@@ -233,11 +234,16 @@
 }
 
 // Read reads from the body. It returns io.EOF at the end of a complete body. If the delimiter does not mark the end, it
-// returns io.EOF also when the endpoint crashed in the middle of the body.
+// returns io.EOF also when the endpoint crashed in the middle of the body, but only once the whole request has been written.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF):
+		if !r.Delimiter().MarksEnd() {
+			if err := r.awaitWrite(); err != nil {
+				return n, errors.Wrap(err, "connection ended while the request was written")
+			}
+		}
 		r.bodyComplete = true
 	case err != nil:
 		err = r.conn.explain(err)
@@ -245,6 +251,16 @@
 	return n, err
 }
 
+// awaitWrite waits until the request has been written, and returns the error of that. The kernel reports a reset of the connection
+// once: if it reports it to the write, reads see an ordinary end. The write ends at the latest when the context ends.
+func (r *Response) awaitWrite() error {
+	if r.written == nil {
+		err := <-r.writeDone
+		r.written = &err
+	}
+	return *r.written
+}
+
 // Close ends the exchange. The connection is kept for reuse if the request was written completely, the response was
 // read completely and nothing follows it. Otherwise it is closed.
 func (r *Response) Close() {
