Unmarked ends of endpoints that leave or pause are confirmed by a connection

Cause: such endpoints get no question behind an unmarked end, as nothing may be sent to them, and an end that nobody confirmed counted as complete.

Change: a connection to the address is opened and closed.

--- a/internal/proxy/forwarder/calls.go
+++ b/internal/proxy/forwarder/calls.go
@@ -154,7 +154,7 @@
 	defer cancel()
 	remaining := f.timeLeft(j)
 	startedAt := f.clock()
-	j.contact = contact{endpointID: e.ID, attemptedAt: startedAt}
+	j.contact = contact{endpointID: e.ID, address: e.Address, attemptedAt: startedAt}
 	r, err := f.endpointClient.Run(callCtx, e.Address, Attempt{
 		Request: j.Request, EndpointID: e.ID, Account: j.accountName(), TimeBudget: remaining,
 		NewConnection: j.route.Kind == matcher.AtMostOnce,
--- a/internal/proxy/forwarder/crashes.go
+++ b/internal/proxy/forwarder/crashes.go
@@ -21,6 +21,7 @@
 // contact is what an attempt has shown about its endpoint.
 type contact struct {
 	endpointID  string
+	address     string
 	attemptedAt time.Duration
 	// isPrefill is set if the attempt was a prefill, not a run.
 	isPrefill bool
@@ -46,7 +47,7 @@
 		return down
 	case isConnectionLost(c.err), c.ending == endedInsideEvent, c.ending == endedEmpty:
 		return f.suspect(j, c) && f.probe(c.endpointID).Gone()
-	case c.ending == endedUnconfirmed:
+	case c.ending == endedUnconfirmed, c.ending == endedSilent:
 		if f.suspect(j, c) {
 			f.watch(c.endpointID)
 		}
@@ -182,7 +183,7 @@
 			t.RecordEndpointDown(endpointID, crashtracker.ConnectionRefused, now)
 		case prober.Replaced:
 			t.RecordEndpointDown(endpointID, crashtracker.ProcessReplaced, now)
-		case prober.Unknown:
+		case prober.Unknown, prober.Reachable:
 		}
 	})
 }
--- a/internal/proxy/forwarder/ending.go
+++ b/internal/proxy/forwarder/ending.go
@@ -20,6 +20,8 @@
 	endedUnconfirmed
 	// endedByCrash means that the connection ended and the endpoint accepts no connections any more.
 	endedByCrash
+	// endedSilent means that the connection to an endpoint that leaves ended, and that it can't be reached any more.
+	endedSilent
 	// endedInsideEvent means that a stream ended inside an event.
 	endedInsideEvent
 	// endedEmpty means that a stream whose end is not marked ended before its first event.
@@ -46,6 +48,8 @@
 		return "connection closed, endpoint silent"
 	case endedByCrash:
 		return "endpoint down"
+	case endedSilent:
+		return "leaving endpoint silent"
 	case endedInsideEvent:
 		return "inside an event"
 	case endedEmpty:
@@ -68,21 +72,34 @@
 	}
 }
 
-// confirmEnd records how a body ended whose end is not marked. A process that crashes ends its connections like one that
-// has sent a whole body, but it answers no probe afterwards. An endpoint that is leaving may exit behind its last response,
-// so its end shows nothing.
+// confirmEnd records how a body ended whose end is not marked. A process that crashes, or is taken away, ends its connections like
+// one that has sent a whole body, but it answers no probe afterwards. An endpoint that is leaving may also exit behind its last
+// response. Nobody can tell, so that its response counts as broken off, too.
 func (f *Forwarder) confirmEnd(c *contact) {
-	if !f.isLeaving(c.endpointID) {
-		c.found = f.ask(c.endpointID)
-	}
+	leaving := f.isLeaving(c.endpointID)
+	c.found = f.findEnded(c, leaving)
 	switch c.found {
-	case prober.Running, prober.SameID:
+	case prober.Running, prober.SameID, prober.Reachable:
 		c.ending = endedUnmarked
 	case prober.Refused, prober.Replaced:
 		c.ending = endedByCrash
-	default:
+	case prober.Unknown:
 		c.ending = endedUnconfirmed
+		if leaving {
+			c.ending = endedSilent
+		}
+	}
+}
+
+// findEnded finds out whether the endpoint of a response that has ended still runs. One that leaves, is not listed any more or has
+// asked for a pause gets no question; whether it accepts connections must do.
+func (f *Forwarder) findEnded(c *contact, leaving bool) prober.Verdict {
+	if _, ok := f.controller.Process(c.endpointID); ok && !leaving {
+		return f.ask(c.endpointID)
 	}
+	v, err := f.prober.Reach(c.address)
+	f.logVerdict(prober.Process{Address: c.address, EndpointID: c.endpointID}, v, err)
+	return v
 }
 
 // isLeaving reports whether an endpoint is leaving or has left.
--- a/internal/proxy/forwarder/generations.go
+++ b/internal/proxy/forwarder/generations.go
@@ -186,7 +186,7 @@
 		return result
 	}
 	e := g.plan.Decode
-	g.contact = contact{endpointID: e.ID, attemptedAt: f.clock()}
+	g.contact = contact{endpointID: e.ID, address: e.Address, attemptedAt: f.clock()}
 	result = f.attemptDecode(ctx, g)
 	down := f.reportContact(g.job, g.contact)
 	if down && g.contact.response != nil {
--- a/internal/proxy/prober/prober.go
+++ b/internal/proxy/prober/prober.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -66,6 +67,8 @@
 	Refused
 	// Replaced means that another process answered.
 	Replaced
+	// Reachable means that something accepts connections at the address. It was not asked who it is.
+	Reachable
 )
 
 // Gone reports whether the process no longer runs.
@@ -84,6 +87,8 @@
 		return "refused"
 	case Replaced:
 		return "replaced"
+	case Reachable:
+		return "reachable"
 	default:
 		return "unknown"
 	}
@@ -93,6 +98,7 @@
 // probe. It is safe for concurrent use.
 type Prober struct {
 	identify func(ctx context.Context, p Process) (Identity, error)
+	dialer   net.Dialer
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -120,7 +126,10 @@
 
 // New returns a Prober. identify must ask what answers at the address of a process, on a new connection, who it is.
 func New(identify func(ctx context.Context, p Process) (Identity, error)) *Prober {
-	return &Prober{identify: identify, waiting: map[Process]*probe{}, watched: map[Process]bool{}, reported: map[place]int64{}}
+	return &Prober{
+		identify: identify, dialer: net.Dialer{Timeout: answerTimeout, KeepAlive: -1},
+		waiting: map[Process]*probe{}, watched: map[Process]bool{}, reported: map[place]int64{},
+	}
 }
 
 // Probe asks for a process, not before settleTime has passed. The error says why the verdict is Unknown.
@@ -143,6 +152,22 @@
 	return own.verdict, own.err
 }
 
+// Reach opens a connection to an address, not before settleTime has passed, and closes it. Nothing is sent, so it may be called
+// for endpoints that want no requests. The error says why the verdict is not Reachable.
+func (p *Prober) Reach(address string) (Verdict, error) {
+	time.Sleep(settleTime)
+	c, err := p.dialer.Dial("tcp", address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused, err
+	case err != nil:
+		return Unknown, err
+	}
+	// The only possible error is that the connection is closed already.
+	_ = c.Close()
+	return Reachable, nil
+}
+
 // Watch asks for a process again and again until report returns true for the verdict, or for as long as its entry may
 // outlive it. report gets how long ago the probe began. Watch returns at once. A process that is being watched already is
 // not watched twice.
