A pause that is asked for before a new start is listed is kept

Cause: its entry showed the new start 1.2 s later, and what an earlier start has asked for is forgotten then. The pause was the new one's.

Change: a pause that was asked for up to 3 s before the listing is kept. The rest is forgotten as before.

Evidence: TestPauseIsForgottenWhenNewStartIsListed failed before and passes.

--- a/internal/routing/suspender/suspender.go
+++ b/internal/routing/suspender/suspender.go
@@ -20,6 +20,8 @@
 	maxSpread      = 500 * time.Millisecond
 	// rampTime is the time after a pause in which an endpoint gets work in steps, up to all of its slots.
 	rampTime = 2 * time.Second
+	// maxListingTime is how long an endpoint that has started again may answer before the list shows its new start.
+	maxListingTime = 3 * time.Second
 	// departedRetention is how long an endpoint that is no longer listed is remembered: its entry may come back.
 	departedRetention = time.Minute
 	// ignoredInterval is the shortest time between two events about values of one endpoint that are ignored.
@@ -77,8 +79,9 @@
 	leaving     bool
 	// leavingSince is when the endpoint first said that it leaves. It is valid if leaving is set.
 	leavingSince time.Duration
-	// pausedUntil is the end of the latest pause, or zero.
+	// pausedUntil is the end of the latest pause, and pausedAt when a pause was last asked for. Both are zero without one.
 	pausedUntil time.Duration
+	pausedAt    time.Duration
 	// ignoredAt is when an event about an ignored value was last added, or zero.
 	ignoredAt time.Duration
 	// unlistedSince is when the endpoint was last listed. It is zero while it is listed.
@@ -101,7 +104,8 @@
 	return &Suspender{rand: r, listed: map[string]incarnation{}, requests: map[string]*request{}}
 }
 
-// SetEndpoints replaces the endpoint list. What an earlier incarnation of an endpoint asked for no longer applies.
+// SetEndpoints replaces the endpoint list. What an earlier incarnation of an endpoint asked for no longer applies, but
+// for a pause that may be of the present one.
 func (s *Suspender) SetEndpoints(endpoints []Endpoint, now time.Duration) {
 	listed := make(map[string]incarnation, len(endpoints))
 	for _, e := range endpoints {
@@ -111,7 +115,7 @@
 		}
 		listed[e.ID] = next
 		if r, ok := s.requests[e.ID]; ok && startedAfter(e.StartedAtMs, r.startedAtMs) {
-			delete(s.requests, e.ID)
+			s.startAnew(e, r, now)
 		}
 	}
 	s.listed = listed
@@ -125,6 +129,16 @@
 	}
 }
 
+// startAnew forgets what an earlier incarnation has asked for. A pause that was asked for shortly before the new one is listed may be
+// its own, and is kept.
+func (s *Suspender) startAnew(e Endpoint, r *request, now time.Duration) {
+	if now >= r.pausedUntil || now-r.pausedAt > maxListingTime {
+		delete(s.requests, e.ID)
+		return
+	}
+	s.requests[e.ID] = &request{startedAtMs: e.StartedAtMs, pausedUntil: r.pausedUntil, pausedAt: r.pausedAt}
+}
+
 // startedAfter reports whether an incarnation has started after an earlier one. It is false if the start of the earlier one
 // is not known.
 func startedAfter(startedAtMs, earlierMs int64) bool {
@@ -174,6 +188,7 @@
 func (s *Suspender) pause(r *request, signal Signal, now time.Duration) {
 	duration := min(signal.Pause, MaxPause)
 	until := now + duration
+	r.pausedAt = now
 	if until <= r.pausedUntil {
 		return
 	}
--- a/internal/routing/suspender/suspender_test.go
+++ b/internal/routing/suspender/suspender_test.go
@@ -223,3 +223,25 @@
 		}
 	}
 }
+
+// An endpoint that starts again under its ID may ask for a pause before the list shows its new start. The pause was forgotten then,
+// and the endpoint got requests in it (play restart, BUDGET). What was asked earlier is of the start before.
+func TestPauseIsForgottenWhenNewStartIsListed(t *testing.T) {
+	for listedAfter, want := range map[time.Duration]bool{
+		100 * time.Millisecond: true, 1200 * time.Millisecond: true, 3 * time.Second: true, 3100 * time.Millisecond: false,
+	} {
+		s := newSuspender()
+		asked := signal(2 * time.Second)
+		asked.Pause, asked.Leaving = 8*time.Second, true
+		s.Record(asked, 2*time.Second)
+		now := 2*time.Second + listedAfter
+		s.SetEndpoints([]suspender.Endpoint{{ID: "e", StartedAtMs: 3000}}, now)
+		if got := s.IsPaused("e", now); got != want || s.IsLeaving("e") {
+			t.Errorf("listed %v after the pause was asked for: got paused %t, leaving %t, want %t and not leaving", listedAfter, got, s.IsLeaving("e"), want)
+		}
+		s.SetEndpoints([]suspender.Endpoint{{ID: "e", StartedAtMs: 9000}}, now+10*time.Second)
+		if s.IsPaused("e", now+10*time.Second) {
+			t.Error("got the pause kept for a further start, want it forgotten")
+		}
+	}
+}
