A deferred removal beside a restore is tested

TestDeferredRemovalOutlivesRestore: a removal that is deferred after an outage is dropped if the restored store has the entry again, and applied after the grace time if it lacks it too. Both hold since the first read of an era starts the grace time.

--- a/internal/fleet/follower/era_test.go
+++ b/internal/fleet/follower/era_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/pistachiovane/pistachiovane/internal/fleet/deferrer"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/follower"
 	"github.com/pistachiovane/pistachiovane/internal/fleet/revision"
@@ -90,3 +92,35 @@
 		t.Errorf("got entries %v after the grace time, want all but the one that was not written again", last)
 	}
 }
+
+// A removal that is deferred after an outage meets a restore: an entry that the restored store has again must stay, and one that it
+// lacks too must go once its owner has had the time to write it.
+func TestDeferredRemovalOutlivesRestore(t *testing.T) {
+	o := follower.Options{Removals: deferrer.Options{Grace: 300 * time.Millisecond, HeartbeatInterval: 25 * time.Millisecond}}
+	both := []follower.Item{itemOf("a", "", 1, 20), itemOf("b", "", 1, 21)}
+	for name, c := range map[string]struct {
+		restored []follower.Item
+		updates  int
+		want     int
+	}{
+		"has it again": {restored: []follower.Item{itemOf("a", "", 2, 20), itemOf("b", "", 2, 21)}, updates: 4, want: 2},
+		"lacks it too": {restored: []follower.Item{itemOf("a", "", 2, 20)}, updates: 5, want: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			updates := runUpdates(t, o, []step{
+				{read: true, items: both, revision: revision.New(1, 30)},
+				{err: errors.New("down")},
+				{items: []follower.Item{{Key: "b", Revision: revision.New(1, 31), Removed: true}}, revision: revision.New(1, 31)},
+				{revision: revision.New(2, 22)},
+				{read: true, items: c.restored, revision: revision.New(2, 22)},
+				{revision: revision.New(2, 22), delay: 400 * time.Millisecond},
+			}, c.updates)
+			if during := updates[2].Items; len(during) != 2 {
+				t.Errorf("got entries %v right after the restore, want both", during)
+			}
+			if last := updates[c.updates-1].Items; len(last) != c.want {
+				t.Errorf("got entries %v after the grace time, want %d", last, c.want)
+			}
+		})
+	}
+}
