A prefill that is not sent is no backlog

A prompt whose prefill crashes endpoints, or whose retries were spent, counted as work of its prefill endpoint in the planner, so that later prompts waited for it.

Cause: the plan that the planner gives out was the one that it holds. The forwarder removed the prefill endpoint from it, and the planner did not find the endpoint whose backlog it had to reduce.

Change: the planner gives out copies, and a prefill that is not sent is cancelled there.

Evidence: TestBacklogOfPrefillThatIsNotSentStays failed before (5,000 and 10,000 tokens). TestUnsentPromptCountsAsBacklog fails without the cancel (19,998 tokens).

--- a/internal/proxy/forwarder/prefill.go
+++ b/internal/proxy/forwarder/prefill.go
@@ -43,7 +43,7 @@
 			return result
 		}
 		if result != outcomeAnswered || !f.mayPrefill(g) {
-			g.plan.Prefill = nil
+			f.cancelPrefill(g)
 			return outcomeAnswered
 		}
 		g.prefillAttempts++
@@ -86,6 +86,15 @@
 	return outcomeAnswered
 }
 
+// cancelPrefill leaves the prefill, which was not sent, to the decode endpoint.
+func (f *Forwarder) cancelPrefill(g *generation) {
+	f.controller.UpdatePlanner(func(p *planner.Planner, _ time.Duration) []planner.Decision {
+		p.CancelPrefill(g.plannerID)
+		return nil
+	})
+	g.plan = g.plan.WithoutPrefill()
+}
+
 // handlePrefillFailure reports the endpoint of a failed prefill to the planner: as full if it refused, else as failed.
 func (f *Forwarder) handlePrefillFailure(g *generation, e *planner.Endpoint, r *Response, err error) {
 	status := 0
--- a/internal/proxy/forwarder/suspended_test.go
+++ b/internal/proxy/forwarder/suspended_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiovane/pistachiovane/internal/fleet/broadcaster"
 	"github.com/pistachiovane/pistachiovane/internal/process/clock"
 	"github.com/pistachiovane/pistachiovane/internal/routing/suspender"
 )
@@ -84,6 +85,31 @@
 	}
 }
 
+// A prompt that is planned for a prefill endpoint and not sent there, because its prefill crashes endpoints, must not count as the
+// endpoint's backlog.
+func TestUnsentPromptCountsAsBacklog(t *testing.T) {
+	f := newTestForwarder(t)
+	prefill := fingerprintOfPrefill(fingerprint(&job{Request: f.request("/draft/x")}))
+	crashes := []broadcaster.Crash{{Endpoint: "x", AgeMs: 9000}, {Endpoint: "y", AgeMs: 5000}, {Endpoint: "z", AgeMs: 10}}
+	f.controller.Receive(broadcaster.Message{From: "peer", Incarnation: 1, CrashRecords: []broadcaster.CrashRecord{
+		{Fingerprint: uint64(prefill), Crashes: crashes},
+	}})
+	backlog := -1
+	f.endpoints.run = func(string) (*Response, error) {
+		backlog = 0
+		m, _ := f.controller.Compose(false)
+		for _, l := range m.Loads {
+			backlog += l.PrefillBacklogTokens
+		}
+		return answer("id: 1\ndata: a\n\n", 200), nil
+	}
+	r := f.request("/draft/x")
+	r.PromptTokens = 20000
+	if w := f.sendRequest(r); w.Code != http.StatusOK || backlog != 0 || len(f.endpoints.prefills) > 0 {
+		t.Errorf("got status %d and a backlog of %d tokens while the prompt is read elsewhere, want 200 and none; log:\n%s", w.Code, backlog, f.log)
+	}
+}
+
 // countOf returns how often a text is in a list.
 func countOf(list []string, text string) int {
 	n := 0
--- a/internal/routing/planner/planner.go
+++ b/internal/routing/planner/planner.go
@@ -73,6 +73,17 @@
 	LowCapacity bool
 }
 
+// copied returns a copy for a caller, who may change it.
+func (p Plan) copied() *Plan {
+	return &p
+}
+
+// WithoutPrefill returns the plan with the prefill left to the decode endpoint.
+func (p Plan) WithoutPrefill() *Plan {
+	p.Prefill, p.PrefillTime = nil, 0
+	return &p
+}
+
 // Decision is the outcome of a request: it either starts or is refused.
 type Decision struct {
 	RequestID uint64
@@ -345,7 +356,7 @@
 	if j.prefilling {
 		p.schedulePrefill(j, now)
 	}
-	return j.plan
+	return j.plan.copied()
 }
 
 // Requeue puts a request whose decode endpoint turned out to be full back to the front of the queue of its account. It
@@ -382,6 +393,6 @@
 			p.schedulePrefill(j, now)
 		}
 		p.recentStarts = p.recentStarts.With(1, startRateWindow, now)
-		decisions = append(decisions, Decision{RequestID: j.ID, Plan: plan})
+		decisions = append(decisions, Decision{RequestID: j.ID, Plan: plan.copied()})
 	}
 }
--- a/internal/routing/planner/rates_test.go
+++ b/internal/routing/planner/rates_test.go
@@ -193,3 +193,30 @@
 		t.Errorf("got an expected prefill time of %v, want about %v", got, want)
 	}
 }
+
+// A gateway that doesn't send the planned prefill takes it out of its plan. If that was the plan that the planner holds, the prompt
+// counted as backlog of the prefill endpoint for good, and others waited for it.
+func TestBacklogOfPrefillThatIsNotSentStays(t *testing.T) {
+	p := planner.New(options, rand.New(rand.NewPCG(1, 1)))
+	p.SetEndpoints(endpoints(1, 1, 500000))
+	r := newRequest(1, 0)
+	r.PromptTokens = 5000
+	plan := p.Submit(r, 0)[0].Plan
+	if p.LoadOn("e00", 0).BacklogTokens != 5000 {
+		t.Fatalf("got load %+v, want the prompt as backlog", p.LoadOn("e00", 0))
+	}
+	plan.Prefill = nil
+	p.CancelPrefill(1)
+	if got := p.LoadOn("e00", 0).BacklogTokens; got != 0 {
+		t.Errorf("got a backlog of %d tokens of a prefill that is not sent, want 0", got)
+	}
+	if replanned := p.Replan(1, true, "", 0); replanned == nil || replanned.Prefill == nil {
+		t.Fatalf("got plan %+v, want one with a prefill endpoint", replanned)
+	} else {
+		replanned.Prefill = nil
+	}
+	p.End(1, 0)
+	if got := p.LoadOn("e00", 0).BacklogTokens; got != 0 {
+		t.Errorf("got a backlog of %d tokens after the end, want 0", got)
+	}
+}
