The judge of drawn exchanges allows less behind the end of a leaving endpoint

Half an answer without a mark of an endpoint that says that it leaves and ends may look whole only if something takes its address; where nothing does, the gateway finds out now.

--- a/internal/peer/reader/reader.go
+++ b/internal/peer/reader/reader.go
@@ -181,15 +181,15 @@
 }
 
 // mayLookWhole reports whether nobody could know that the caller got a part: its end is not marked, and the last endpoint
-// closed the connection in the ordinary way behind an answer without a mark, or ended as it had said that it would. What a
-// listener that never answers hides is listed in KNOWN-RED.txt.
+// closed the connection in the ordinary way behind an answer without a mark, or ended as it had said that it would and something
+// accepts connections at its address. What a listener that never answers hides is listed in KNOWN-RED.txt.
 func mayLookWhole(q Request, runs []Played) bool {
 	if q.Response.Marked || len(runs) == 0 {
 		return false
 	}
 	last := runs[len(runs)-1].Exchange
 	ends := last.Cut == scripter.Close ||
-		last.Cut == scripter.Crash && (last.Signal == scripter.Leaves || last.Successor == scripter.Stuck)
+		last.Cut == scripter.Crash && (last.Signal == scripter.Leaves && last.Successor != scripter.Nothing || last.Successor == scripter.Stuck)
 	return last.Framing == scripter.Unframed && ends || last.Cut == scripter.MarkedInside
 }
 
