--- a/internal/proxy/prober/prober_test.go
+++ b/internal/proxy/prober/prober_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -129,3 +131,36 @@
 		t.Errorf("got %v after another start, want replaced", got)
 	}
 }
+
+// Whether an endpoint that wants no requests still runs must be found out without sending it anything.
+func TestReachSendsBytes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, received := l.Addr().String(), make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			received <- -1
+			return
+		}
+		b, _ := io.ReadAll(c)
+		_ = c.Close()
+		received <- len(b)
+	}()
+	p := prober.New(nil)
+	if v, err := p.Reach(address); v != prober.Reachable || err != nil {
+		t.Errorf("got %v and error %v for an address that accepts connections, want reachable", v, err)
+	}
+	if n := <-received; n != 0 {
+		t.Errorf("got %d bytes, want none", n)
+	}
+	_ = l.Close()
+	if v, err := p.Reach(address); v != prober.Refused || err == nil {
+		t.Errorf("got %v and error %v for an address that refuses connections, want refused", v, err)
+	}
+	if v, err := p.Reach("nowhere"); v != prober.Unknown || err == nil {
+		t.Errorf("got %v and error %v for an impossible address, want unknown", v, err)
+	}
+}
