--- a/cmd/pistachiovane/cmds/edge_drill_test.go
+++ b/cmd/pistachiovane/cmds/edge_drill_test.go
@@ -12,6 +12,8 @@
 const (
 	// maxApplyTime is the time within which a gateway must follow what the store has confirmed.
 	maxApplyTime = 2 * time.Second
+	// awayTime is how long the store is away in a drill.
+	awayTime = 300 * time.Millisecond
 	// settleTime is the time after a drill from which that binds.
 	settleTime = 3 * time.Second
 )
@@ -63,9 +65,7 @@
 	env.writeFiller(5)
 	env.addGateway()
 	env.waitForRevision()
-	env.store.SetDown(true)
-	time.Sleep(300 * time.Millisecond)
-	env.store.Restore(copied)
+	env.restore(copied)
 	env.putConfig(5, `"other"`)
 	if got := env.store.Revision(); got != number {
 		t.Fatalf("got number %d, want %d again", got, number)
@@ -79,11 +79,24 @@
 	}
 }
 
-// restoreWithEntries makes the store go away and come back from a copy. What the endpoints wrote is written again.
-func (env *testEnv) restoreWithEntries(copied standin.Copy) {
+// restore makes the store go away and come back from a copy.
+func (env *testEnv) restore(copied standin.Copy) {
 	env.store.SetDown(true)
-	time.Sleep(300 * time.Millisecond)
+	time.Sleep(awayTime)
 	env.store.Restore(copied)
+}
+
+// waitForEra waits until gateways have read the restored list.
+func (env *testEnv) waitForEra(gateways []*testGateway, era uint64) {
+	env.t.Helper()
+	for _, g := range gateways {
+		env.waitFor(func() bool { return g.state().List.Era == era }, "all gateways should have read the restored list")
+	}
+}
+
+// restoreWithEntries is restore, and what the endpoints wrote is written again.
+func (env *testEnv) restoreWithEntries(copied standin.Copy) {
+	env.restore(copied)
 	for _, e := range env.serviceEndpoints {
 		env.store.Put(e.StoreEntry("ready"))
 	}
@@ -105,9 +118,7 @@
 	}
 	env.waitForRevision()
 	env.restoreWithEntries(copied)
-	for _, g := range env.gateways {
-		env.waitFor(func() bool { return g.state().List.Era == 2 }, "all gateways should have read the restored list")
-	}
+	env.waitForEra(env.gateways, 2)
 	time.Sleep(settleTime)
 	env.store.Remove("servers/s2")
 	time.Sleep(maxApplyTime)
@@ -151,9 +162,7 @@
 		copied := env.store.Copy()
 		env.writeFiller(20)
 		env.waitForRevision()
-		env.store.SetDown(true)
-		time.Sleep(300 * time.Millisecond)
-		env.store.Restore(copied)
+		env.restore(copied)
 		env.putConfig(int(5+drill), `"key","other"`) //nolint:gosec // a small number
 		env.writeFiller(30)
 		time.Sleep(maxApplyTime)
@@ -178,12 +187,8 @@
 	for _, g := range env.gateways {
 		env.waitFor(func() bool { return !g.lists(removed.ID) && g.listsLeaving(leaving.ID) }, "all gateways should know")
 	}
-	env.store.SetDown(true)
-	time.Sleep(300 * time.Millisecond)
-	env.store.Restore(copied)
-	for _, g := range gateways {
-		env.waitFor(func() bool { return g.state().List.Era == 2 }, "all gateways should have read the restored list")
-	}
+	env.restore(copied)
+	env.waitForEra(gateways, 2)
 	time.Sleep(time.Second)
 	for n, g := range gateways {
 		if g.lists(removed.ID) || !g.listsLeaving(leaving.ID) {
@@ -205,9 +210,7 @@
 	copied := env.store.Copy()
 	env.putConfig(4, `"other"`)
 	env.waitForVersion(4)
-	env.store.SetDown(true)
-	time.Sleep(300 * time.Millisecond)
-	env.store.Restore(copied)
+	env.restore(copied)
 	started := env.startGateway(env.settings)
 	env.useGateway(len(env.gateways) - 1)
 	for restoredAt := time.Now(); time.Since(restoredAt) < 4*time.Second; time.Sleep(20 * time.Millisecond) {
